--- /dev/null
+++ b/fakes/memory_platform.ts
@@ -0,0 +1,158 @@
+/**
+ * Stand-in for the platform's services, in memory, with switchable faults.
+ *
+ * Rows carry the commit number as their version, so a row that is deleted and
+ * created again never repeats a version.
+ */
+import { Ok, type Result } from "ts-results";
+import { codes, fail, type Failure } from "../src/errors/index.ts";
+import type {
+  CommitOutcome,
+  ListedHost,
+  ObjectStore,
+  Platform,
+  ReadQuery,
+  Row,
+  TableService,
+  Transaction,
+} from "../src/platform/index.ts";
+
+/** Faults of the stand-in. */
+export interface PlatformFaults {
+  /** Every call is refused without effect. */
+  down: boolean;
+  /** Delay of every call in ms. */
+  slowMs: number;
+  /** Number of next commits whose answer is lost after they took effect. */
+  loseAnswers: number;
+  /** Zones whose calls are refused. */
+  cutZones: string[];
+}
+
+/** No faults. */
+export function noFaults(): PlatformFaults {
+  return { down: false, slowMs: 0, loseAnswers: 0, cutZones: [] };
+}
+
+/** Number of operation outcomes that are remembered. */
+const rememberedOperations = 100_000;
+
+/** The services' state, without transport. */
+export class MemoryPlatform implements Platform {
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  faults = noFaults();
+  rows = new Map<string, Row>();
+  hosts = new Map<string, ListedHost>();
+  readonly rebooted: string[] = [];
+  /** Called once for each accepted reboot. */
+  onReboot: (host: string) => void = () => {};
+  #blobs = new Map<string, Uint8Array>();
+  #outcomes = new Map<string, CommitOutcome>();
+  #reboots = new Set<string>();
+  #commits = 0;
+
+  constructor() {
+    this.table = {
+      read: (query) => Promise.resolve(this.read(query)),
+      commit: (tx) => Promise.resolve(this.commit(tx)),
+    };
+    this.objects = {
+      put: (name, bytes) => {
+        if (this.faults.down) return Promise.resolve(down());
+        this.#blobs.set(name, bytes);
+        return Promise.resolve(Ok(undefined));
+      },
+      get: (name) => {
+        if (this.faults.down) return Promise.resolve(down());
+        const bytes = this.#blobs.get(name);
+        return Promise.resolve(
+          bytes === undefined ? fail(codes.notFound, name) : Ok(bytes),
+        );
+      },
+    };
+  }
+
+  /** Reads rows in one snapshot. */
+  read(query: ReadQuery): Result<readonly Row[], Failure> {
+    if (this.faults.down) return down();
+    const found: Row[] = [];
+    for (const key of query.keys ?? []) {
+      const row = this.rows.get(key);
+      if (row !== undefined) found.push(row);
+    }
+    for (const prefix of query.prefixes ?? []) {
+      for (const row of this.rows.values()) {
+        if (row.key.startsWith(prefix)) found.push(row);
+      }
+    }
+    return Ok(found);
+  }
+
+  /** Commits one transaction, subject to the faults. */
+  commit(tx: Transaction): Result<CommitOutcome, Failure> {
+    if (this.faults.down) return down();
+    const outcome = this.apply(tx);
+    if (this.faults.loseAnswers > 0) {
+      this.faults.loseAnswers--;
+      return fail(codes.commitUnknown, "the answer was lost");
+    }
+    return Ok(outcome);
+  }
+
+  /** Commits one transaction, or returns the outcome of its operation id. */
+  apply(tx: Transaction): CommitOutcome {
+    const known = this.#outcomes.get(tx.operation);
+    if (known !== undefined) return known;
+    const outcome = this.#decide(tx);
+    if (outcome.kind === "committed") this.#remember(tx.operation, outcome);
+    return outcome;
+  }
+
+  listHosts(): Promise<Result<readonly ListedHost[], Failure>> {
+    if (this.faults.down) return Promise.resolve(down());
+    return Promise.resolve(Ok([...this.hosts.values()]));
+  }
+
+  reboot(host: string, operation: string): Promise<Result<void, Failure>> {
+    if (this.faults.down) return Promise.resolve(down());
+    if (!this.#reboots.has(operation)) {
+      this.#reboots.add(operation);
+      this.rebooted.push(host);
+      this.onReboot(host);
+    }
+    return Promise.resolve(Ok(undefined));
+  }
+
+  #decide(tx: Transaction): CommitOutcome {
+    const differing = tx.checks.filter((check) =>
+      (this.rows.get(check.key)?.version ?? 0) !== check.version
+    );
+    if (differing.length > 0) {
+      const rows = differing.map((check) =>
+        this.rows.get(check.key) ?? { key: check.key, version: 0, value: null }
+      );
+      return { kind: "conflict", rows: [...rows] };
+    }
+    this.#commits++;
+    const version = this.#commits;
+    for (const { key, value } of tx.writes) {
+      if (value === null) this.rows.delete(key);
+      else this.rows.set(key, { key, version, value: structuredClone(value) });
+    }
+    return { kind: "committed", version };
+  }
+
+  #remember(operation: string, outcome: CommitOutcome): void {
+    this.#outcomes.set(operation, outcome);
+    if (this.#outcomes.size <= rememberedOperations) return;
+    for (const oldest of this.#outcomes.keys()) {
+      this.#outcomes.delete(oldest);
+      return;
+    }
+  }
+}
+
+function down() {
+  return fail(codes.platformDown, "the platform is down");
+}
--- /dev/null
+++ b/fakes/stack_main.ts
@@ -0,0 +1,92 @@
+/**
+ * `npm run stack`: starts a deployment and leaves it running until SIGTERM.
+ * The first line on standard output is one JSON object with all addresses.
+ * Control: `POST /links {mode, a, b}` on the printed control URL sets the
+ * links between two zones or entries; `POST /entries {id, signal}` signals
+ * an entry; `POST /entries {id, start: true}` starts it again.
+ */
+import { createServer } from "node:http";
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { deployments } from "./deployment.ts";
+import { listen, readAll, sendJson } from "./json_http.ts";
+import type { RelayMode } from "./relay.ts";
+import { type EntryAddresses, operatorToken, Stack } from "./stack.ts";
+
+interface LinksBody {
+  readonly mode: RelayMode;
+  readonly a: string;
+  readonly b: string;
+}
+
+interface EntriesBody {
+  readonly id: string;
+  readonly signal?: NodeJS.Signals;
+  readonly start?: boolean;
+}
+
+function matches(entry: EntryAddresses, name: string): boolean {
+  return name === "*" || entry.id === name || entry.zone === name;
+}
+
+async function main(): Promise<void> {
+  const { values } = parseArgs({
+    options: {
+      deployment: { type: "string", default: "hinokuni" },
+      log: { type: "string" },
+    },
+  });
+  const deployment = deployments[values.deployment];
+  if (deployment === undefined) {
+    const names = Object.keys(deployments).join(", ");
+    process.stderr.write(`--deployment is one of ${names}\n`);
+    process.exit(2);
+  }
+  const stack = await Stack.start(deployment, { logFile: values.log });
+  const server = createServer(async (req, res) => {
+    const body = JSON.parse((await readAll(req)).toString("utf8") || "{}");
+    if (req.url === "/links") {
+      const { mode, a, b } = body as LinksBody;
+      stack.cutLinks(mode, (x, y) => matches(x, a) && matches(y, b));
+    } else if (req.url === "/entries") {
+      const { id, signal, start } = body as EntriesBody;
+      if (signal !== undefined) stack.signal(id, signal);
+      if (start) stack.startEntry(id);
+    } else {
+      return sendJson(res, 404, {});
+    }
+    sendJson(res, 200, { pids: stack.pids() });
+  });
+  const control = `http://${await listen(server)}`;
+  const { platform } = stack;
+  process.stdout.write(`${
+    JSON.stringify({
+      deployment: deployment.name,
+      operatorToken,
+      entries: stack.entries,
+      platform: {
+        url: `http://${platform}`,
+        faults: `http://${platform}/control/faults`,
+        hosts: `http://${platform}/control/hosts`,
+      },
+      endpoints: Object.fromEntries(
+        Object.entries(stack.endpoints).map(([name, url]) => [name, {
+          url,
+          mode: `${url}/control/mode`,
+          runs: `${url}/control/runs`,
+        }]),
+      ),
+      control,
+      pids: stack.pids(),
+    })
+  }\n`);
+  const stop = async () => {
+    server.close();
+    await stack.stop();
+    process.exit(0);
+  };
+  process.once("SIGTERM", stop);
+  process.once("SIGINT", stop);
+}
+
+main();
--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,69 @@
+/**
+ * Bundles the command line and the development programs with esbuild, and
+ * packs the command line into one executable with Node's single-executable
+ * blob.
+ *
+ * Options: `--bundle-only` leaves the executable out; `--if-missing` returns
+ * at once when the bundles are present.
+ */
+import { build } from "esbuild";
+import { chmodSync, copyFileSync, existsSync, readFileSync } from "node:fs";
+import { mkdirSync, rmSync, writeFileSync } from "node:fs";
+import { execFileSync } from "node:child_process";
+import process from "node:process";
+import { bundleOptions } from "./esbuild_options.mjs";
+
+const outDir = "dist";
+const programs = {
+  briartide: "src/main.ts",
+  platform: "fakes/platform_main.ts",
+  endpoints: "fakes/endpoints_main.ts",
+  stack: "fakes/stack_main.ts",
+  demo: "fakes/demo_main.ts",
+  soak: "fakes/soak_main.ts",
+  bench: "bench/main.ts",
+};
+const seaFuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+
+const target = `${outDir}/briartide`;
+const flags = new Set(process.argv.slice(2));
+const version = JSON.parse(readFileSync("package.json", "utf8")).version;
+
+async function bundle() {
+  mkdirSync(outDir, { recursive: true });
+  const present = Object.entries(programs).filter(([, f]) => existsSync(f));
+  await build({
+    entryPoints: Object.fromEntries(present),
+    outdir: outDir,
+    define: { "globalThis.briartideVersion": JSON.stringify(version) },
+    ...bundleOptions,
+  });
+}
+
+function pack() {
+  const cfg = `${outDir}/sea.json`;
+  const blob = `${outDir}/sea.blob`;
+  const main = `${outDir}/briartide.cjs`;
+  const settings = { main, output: blob, disableExperimentalSEAWarning: true };
+  writeFileSync(cfg, JSON.stringify(settings));
+  execFileSync(process.execPath, ["--experimental-sea-config", cfg], {
+    stdio: "ignore",
+  });
+  copyFileSync(process.execPath, target);
+  chmodSync(target, 0o755);
+  execFileSync("node_modules/.bin/postject", [
+    target,
+    "NODE_SEA_BLOB",
+    blob,
+    "--sentinel-fuse",
+    seaFuse,
+  ], { stdio: "ignore" });
+}
+
+const done = existsSync(`${outDir}/briartide.cjs`);
+if (!(flags.has("--if-missing") && done)) {
+  // A binary of an earlier build would hide the new bundle.
+  rmSync(target, { force: true });
+  await bundle();
+  if (!flags.has("--bundle-only")) pack();
+}
--- /dev/null
+++ b/src/actors/index.ts
@@ -0,0 +1,2 @@
+/** Actors with supervised crashes. */
+export { type Actor, ActorSystem, type CrashHandler } from "./actors.ts";
--- /dev/null
+++ b/src/audit/index.ts
@@ -0,0 +1,7 @@
+/** The audit trail of changes. */
+export {
+  type AuditRecord,
+  auditRecordSchema,
+  auditWrite,
+  readAudit,
+} from "./audit.ts";
--- /dev/null
+++ b/src/caller/read_body.ts
@@ -0,0 +1,50 @@
+/** Reading of bounded request bodies. */
+import { Buffer } from "node:buffer";
+import type { IncomingMessage } from "node:http";
+import { Ok, type Result } from "ts-results";
+import { codes, fail, type Failure } from "../errors/index.ts";
+
+const empty = new Uint8Array(0);
+
+/** Whether a request announces a body. */
+function hasBody(req: IncomingMessage): boolean {
+  const length = req.headers["content-length"];
+  return req.headers["transfer-encoding"] !== undefined ||
+    (length !== undefined && length !== "0");
+}
+
+/**
+ * Reads a whole body. Fails with `bodyTooLarge`, or with `cancelled` when the
+ * caller goes away before its end.
+ */
+export function readBody(
+  req: IncomingMessage,
+  maxBytes: number,
+): Promise<Result<Uint8Array, Failure>> {
+  if (!hasBody(req)) return Promise.resolve(Ok(empty));
+  if (Number(req.headers["content-length"] ?? 0) > maxBytes) {
+    const message = `the body exceeds ${maxBytes} bytes`;
+    return Promise.resolve(fail(codes.bodyTooLarge, message));
+  }
+  return new Promise((resolve) => {
+    const pieces: Buffer[] = [];
+    let size = 0;
+    const gone = () => {
+      resolve(fail(codes.cancelled, "the caller went away"));
+    };
+    req.on("data", (piece: Buffer) => {
+      size += piece.length;
+      if (size <= maxBytes) {
+        pieces.push(piece);
+        return;
+      }
+      req.pause();
+      resolve(fail(codes.bodyTooLarge, `the body exceeds ${maxBytes} bytes`));
+    });
+    req.on("end", () => {
+      resolve(Ok(pieces.length === 1 ? pieces[0] : Buffer.concat(pieces)));
+    });
+    req.on("error", gone);
+    req.on("close", gone);
+  });
+}
--- /dev/null
+++ b/src/commands/index.ts
@@ -0,0 +1,17 @@
+/** The subcommands of the binary. */
+import type { Command } from "./command.ts";
+import { fleetCommands } from "./fleet.ts";
+import { checkCommand, serveCommand } from "./serve.ts";
+import { tableCommand } from "./table.ts";
+import { workCommands } from "./work.ts";
+
+export { type Command, exitCodes } from "./command.ts";
+
+/** Every subcommand, in the order of the help text. */
+export const commands: readonly Command[] = [
+  serveCommand,
+  checkCommand,
+  tableCommand,
+  ...fleetCommands,
+  ...workCommands,
+];
--- /dev/null
+++ b/src/commands/serve.ts
@@ -0,0 +1,64 @@
+/** `briartide serve` and `briartide check`. */
+import process from "node:process";
+import { Entry } from "../entry/index.ts";
+import { describeError } from "../errors/index.ts";
+import { loadSettings } from "../settings/index.ts";
+import {
+  type Command,
+  exitCodes,
+  parseCommand,
+  print,
+  reportFailure,
+} from "./command.ts";
+
+const options = { settings: { type: "string" } } as const;
+
+function readSettings(args: readonly string[]) {
+  const parsed = parseCommand({ args: [...args], options });
+  if (parsed.err) return parsed;
+  return loadSettings(parsed.val.values.settings ?? "briartide.toml");
+}
+
+/** Runs an entry until SIGTERM or SIGINT. */
+export const serveCommand: Command = {
+  name: "serve",
+  summary: "run an entry host",
+  help: `Usage: briartide serve --settings FILE
+
+Runs an entry host until SIGTERM or SIGINT, which let the work in flight
+finish first. Logs are JSON lines on standard output.`,
+  async run(args) {
+    const settings = readSettings(args);
+    if (settings.err) return reportFailure(settings.val);
+    const entry = new Entry(settings.val);
+    const stopped = new Promise<void>((resolve) => {
+      const stop = () => entry.shutdown().then(resolve);
+      process.once("SIGTERM", stop);
+      process.once("SIGINT", stop);
+    });
+    try {
+      await entry.start();
+    } catch (err) {
+      process.stderr.write(`error: ${describeError(err)}\n`);
+      return exitCodes.failed;
+    }
+    await stopped;
+    return exitCodes.ok;
+  },
+};
+
+/** Checks a settings file. */
+export const checkCommand: Command = {
+  name: "check",
+  summary: "check a settings file",
+  help: `Usage: briartide check --settings FILE
+
+Prints every error of the settings with its key, its value, and what is
+allowed. Exits with 2 when there is one.`,
+  run(args) {
+    const settings = readSettings(args);
+    if (settings.err) return Promise.resolve(reportFailure(settings.val));
+    print("the settings are valid");
+    return Promise.resolve(exitCodes.ok);
+  },
+};
--- /dev/null
+++ b/src/commands/table.ts
@@ -0,0 +1,273 @@
+/** `briartide table`: show, export, edit, import, and history. */
+import { readFileSync } from "node:fs";
+import { Ok, type Result } from "ts-results";
+import { codes, describeError, fail, type Failure } from "../errors/index.ts";
+import {
+  auditReplySchema,
+  editReplySchema,
+  forceReplySchema,
+  type OperatorClient,
+  tableReplySchema,
+} from "../operator/index.ts";
+import {
+  type Edit,
+  fromCsv,
+  parseFields,
+  Table,
+  toCsv,
+} from "../table/index.ts";
+import {
+  clientCommand,
+  type ClientValues,
+  type Command,
+  print,
+  printTable,
+} from "./command.ts";
+
+const waitMs = 16_000;
+const historyRecords = 1_000;
+
+const options = {
+  wait: { type: "boolean", default: false },
+  file: { type: "string" },
+  base: { type: "string" },
+  delete: { type: "boolean", default: false },
+} as const;
+
+const usage = `table show
+       briartide table export                CSV on standard output
+       briartide table import --file FILE    make the table equal to a CSV
+       briartide table edit KIND/NAME COLUMN=VALUE...
+       briartide table edit KIND/NAME --delete
+       briartide table history
+
+KIND is pool or class. An import deletes the rows that the CSV lacks. Each
+row carries its version: a row that was changed meanwhile gives a conflict
+with both values, and nothing is written.
+
+  --base VERSION    row version that the edit was made from
+  --wait            return when the edit is in force on every reachable entry
+
+Exit codes: 0 done, 1 failed, 2 invalid, 3 conflict, 4 not in force in time.`;
+
+interface Values extends ClientValues {
+  readonly wait?: boolean;
+  readonly file?: string;
+  readonly base?: string;
+  readonly delete?: boolean;
+}
+
+/** The table's subcommands. */
+export const tableCommand: Command = clientCommand(
+  "table",
+  "show, export, edit, or import the table",
+  usage,
+  options,
+  runAction,
+);
+
+async function runAction(
+  client: OperatorClient,
+  [action, ...rest]: readonly string[],
+  values: Values,
+): Promise<Result<void, Failure>> {
+  switch (action) {
+    case "show":
+      return await show(client, values.json ?? false);
+    case "export":
+      return (await readTable(client)).map((table) =>
+        print(toCsv(table).trimEnd())
+      );
+    case "import":
+      return await importCsv(client, values);
+    case "edit":
+      return await editRow(client, rest, values);
+    case "history":
+      return await history(client, values.json ?? false);
+    default:
+      return fail(codes.badCommand, `unknown action ${action ?? ""}`);
+  }
+}
+
+async function readTable(
+  client: OperatorClient,
+): Promise<Result<Table, Failure>> {
+  const reply = await client.get("/v1/table", tableReplySchema);
+  return reply.map((t) => Table.of(t.version, t.rows));
+}
+
+async function show(
+  client: OperatorClient,
+  json: boolean,
+): Promise<Result<void, Failure>> {
+  const table = await readTable(client);
+  return table.map((t) => {
+    if (json) {
+      return print(
+        JSON.stringify({ version: t.version, rows: [...t.rows.values()] }),
+      );
+    }
+    print(`table version ${t.version}`);
+    printTable(
+      ["pool", "version", "budget", "spare"],
+      [...t.rows.values()].flatMap(({ version, row }) =>
+        row.kind === "pool" ? [[row.name, version, row.budget, row.spare]] : []
+      ),
+    );
+    printTable(
+      [
+        "class",
+        "version",
+        "pool",
+        "urgency",
+        "repeat",
+        "weight",
+        "price",
+        "rate",
+        "concurrency",
+        "queue",
+        "deadlineMs",
+        "runMs",
+      ],
+      [...t.rows.values()].flatMap(({ version, row }) =>
+        row.kind === "class"
+          ? [[
+            row.name,
+            version,
+            row.pool,
+            row.urgency,
+            row.repeat,
+            row.weight,
+            row.price,
+            row.rate,
+            row.concurrency,
+            row.queue,
+            row.deadlineMs,
+            row.runMs,
+          ]]
+          : []
+      ),
+    );
+  });
+}
+
+async function importCsv(
+  client: OperatorClient,
+  values: Values,
+): Promise<Result<void, Failure>> {
+  if (values.file === undefined) {
+    return fail(codes.badCommand, "--file is missing");
+  }
+  let text: string;
+  try {
+    text = readFileSync(values.file, "utf8");
+  } catch (err) {
+    return fail(codes.badCommand, describeError(err));
+  }
+  const table = await readTable(client);
+  if (table.err) return table;
+  const edit = fromCsv(table.val, text);
+  if (edit.err) return edit;
+  if (edit.val.changes.length === 0) {
+    print(`no change; table version ${table.val.version}`);
+    return Ok(undefined);
+  }
+  return await submit(client, edit.val, values);
+}
+
+async function editRow(
+  client: OperatorClient,
+  [key, ...assignments]: readonly string[],
+  values: Values,
+): Promise<Result<void, Failure>> {
+  const remove = values.delete ?? false;
+  if (key === undefined || (assignments.length === 0 && !remove)) {
+    return fail(codes.badCommand, "name a row and at least one COLUMN=VALUE");
+  }
+  const table = await readTable(client);
+  if (table.err) return table;
+  const current = table.val.rows.get(key);
+  const base = Number(values.base ?? current?.version ?? 0);
+  if (remove) {
+    return await submit(
+      client,
+      { changes: [{ key, base, row: null }] },
+      values,
+    );
+  }
+  const fields = changedFields(key, current?.row, assignments);
+  if (fields.err) return fields;
+  const parsed = parseFields(fields.val);
+  if (parsed.row === undefined) {
+    const { issues } = parsed;
+    return fail(codes.tableInvalid, `row ${key} breaks its rules`, { issues });
+  }
+  return await submit(
+    client,
+    { changes: [{ key, base, row: parsed.row }] },
+    values,
+  );
+}
+
+function changedFields(
+  key: string,
+  row: object | undefined,
+  assignments: readonly string[],
+): Result<Record<string, string>, Failure> {
+  const [kind, name] = key.split("/");
+  const fields: Record<string, string> = { kind, name: name ?? "" };
+  for (const [column, value] of Object.entries(row ?? {})) {
+    fields[column] = String(value);
+  }
+  for (const assignment of assignments) {
+    const equals = assignment.indexOf("=");
+    if (equals < 1) {
+      return fail(codes.badCommand, `${assignment} is not COLUMN=VALUE`);
+    }
+    fields[assignment.slice(0, equals)] = assignment.slice(equals + 1);
+  }
+  return Ok(fields);
+}
+
+async function submit(
+  client: OperatorClient,
+  edit: Edit,
+  values: Values,
+): Promise<Result<void, Failure>> {
+  const reply = await client.post("/v1/table", editReplySchema, edit);
+  if (reply.err) return reply;
+  const { version } = reply.val;
+  print(`accepted as table version ${version}`);
+  if (!values.wait) return Ok(undefined);
+  const path = `/v1/table/force?version=${version}&wait=${waitMs}`;
+  const force = await client.get(path, forceReplySchema);
+  if (force.err) return force;
+  const { confirmed, pending, unreachable } = force.val;
+  print(`in force on ${confirmed.join(", ")}`);
+  if (unreachable.length > 0) {
+    print(`not confirmed, unreachable: ${unreachable.join(", ")}`);
+  }
+  if (pending.length === 0) return Ok(undefined);
+  return fail(codes.notInForce, `not confirmed: ${pending.join(", ")}`);
+}
+
+async function history(
+  client: OperatorClient,
+  json: boolean,
+): Promise<Result<void, Failure>> {
+  const path = `/v1/audit?limit=${historyRecords}`;
+  const reply = await client.get(path, auditReplySchema);
+  return reply.map(({ records }) => {
+    const edits = records.filter((r) => r.action === "table.edit");
+    if (json) return print(JSON.stringify(edits));
+    printTable(
+      ["when", "who", "version", "rows after"],
+      edits.map((r) => [
+        new Date(r.at).toISOString(),
+        r.who,
+        r.subject,
+        JSON.stringify(r.after),
+      ]),
+    );
+  });
+}
--- /dev/null
+++ b/src/endpoint/index.ts
@@ -0,0 +1,12 @@
+/** The endpoints' HTTP client. */
+export {
+  type EndpointClient,
+  type EndpointHealth,
+  endpointHealthSchema,
+  HttpEndpointClient,
+  isStream,
+  type RunQuery,
+  type RunState,
+  runStateSchema,
+  wholeAnswerBytes,
+} from "./endpoint_client.ts";
--- /dev/null
+++ b/src/entry/fleet_keeper.ts
@@ -0,0 +1,49 @@
+/** The actor that holds an entry's knowledge of the fleet. */
+import type { Actor, ActorSystem } from "../actors/index.ts";
+import {
+  applyFleetEvent,
+  emptyFleet,
+  type FleetEffect,
+  type FleetEvent,
+  type FleetState,
+} from "../fleet/index.ts";
+
+/** Applies fleet events in order and carries their effects out. */
+export class FleetKeeper {
+  #state = emptyFleet;
+  readonly #actor: Actor<FleetEvent>;
+
+  constructor(
+    system: ActorSystem,
+    private readonly carryOut: (effect: FleetEffect) => void,
+    private readonly changed: (state: FleetState, before: FleetState) => void,
+  ) {
+    this.#actor = system.spawn<FleetState, FleetEvent>(
+      "fleet",
+      emptyFleet,
+      (state, event) => this.#apply(state, event),
+    );
+  }
+
+  /** The newest state. */
+  get state(): FleetState {
+    return this.#state;
+  }
+
+  /** Tells news about the fleet. */
+  tell(event: FleetEvent): void {
+    this.#actor.send(event);
+  }
+
+  #apply(state: FleetState, event: FleetEvent): FleetState {
+    const step = applyFleetEvent(state, event);
+    if (step.state === state) {
+      for (const effect of step.effects) this.carryOut(effect);
+      return state;
+    }
+    this.#state = step.state;
+    for (const effect of step.effects) this.carryOut(effect);
+    this.changed(step.state, state);
+    return step.state;
+  }
+}
--- /dev/null
+++ b/src/entry/follower.ts
@@ -0,0 +1,144 @@
+/**
+ * Follows the platform: polls the table's head, the hosts, the registrations
+ * and the list, and keeps this entry registered for its zones.
+ */
+import type { Clock, IdSource, Random } from "../clock/index.ts";
+import type { FleetEvent, FleetState } from "../fleet/index.ts";
+import {
+  addEntry,
+  changeRegistration,
+  hostPrefix,
+  hostSchema,
+  isRegistered,
+  rankOwners,
+  type RegisteredEntry,
+  type Registration,
+  registrationPrefix,
+  registrationSchema,
+  removeEntry,
+} from "../hosts/index.ts";
+import type { Member } from "../peers/index.ts";
+import { decodeRows, type Platform } from "../platform/index.ts";
+import { readTable, readTableVersion } from "../table/index.ts";
+import type { PauseGuard } from "./pause_guard.ts";
+
+/** Entries that a zone needs, so that the death of one idles no host. */
+const entriesPerZone = 2;
+const jitterShare = 0.2;
+
+/** What the follower needs of the entry. */
+export interface FollowerParts {
+  readonly platform: Platform;
+  readonly guard: PauseGuard;
+  readonly ids: IdSource;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly pollMs: number;
+  readonly self: RegisteredEntry;
+  state(): FleetState;
+  members(): readonly Member[];
+  tell(event: FleetEvent): void;
+  isShuttingDown(): boolean;
+}
+
+/** Polls the platform. */
+export class Follower {
+  constructor(private readonly parts: FollowerParts) {}
+
+  /** Polls once; returns the pause until the next poll in ms. */
+  async poll(): Promise<number> {
+    const { parts } = this;
+    const pauses = parts.guard.pauses;
+    const [version, rows, listed] = await Promise.all([
+      readTableVersion(parts.platform.table),
+      parts.platform.table.read({ prefixes: [hostPrefix, registrationPrefix] }),
+      parts.platform.listHosts(),
+    ]);
+    if (version.ok && version.val > parts.state().table.version) {
+      await this.#fetchTable();
+    }
+    if (listed.ok) parts.tell({ kind: "list", hosts: listed.val });
+    if (rows.ok) {
+      const hosts = decodeRows(hostSchema, rows.val, hostPrefix);
+      const registrations = decodeRows(
+        registrationSchema,
+        rows.val,
+        registrationPrefix,
+      ).map((r) => r.value);
+      parts.tell({ kind: "hosts", rows: hosts.map((h) => h.value) });
+      parts.tell({ kind: "registrations", rows: registrations });
+      if (this.#isRegisteredAtHome(registrations)) parts.guard.confirm(pauses);
+      if (!parts.isShuttingDown()) await this.#register(registrations);
+    }
+    const jitter = 1 + jitterShare * (parts.random() - 0.5);
+    return parts.pollMs * jitter;
+  }
+
+  /** Removes this entry from every zone, for shutdown. */
+  async deregister(): Promise<void> {
+    const { parts } = this;
+    const { entry, incarnation } = parts.self;
+    for (const [zone, row] of parts.state().registrations) {
+      if (!isRegistered(row, entry, incarnation)) continue;
+      await changeRegistration(
+        parts.platform.table,
+        zone,
+        parts.ids.next(),
+        (r) => removeEntry(r, entry, incarnation),
+      );
+    }
+  }
+
+  async #fetchTable(): Promise<void> {
+    const table = await readTable(this.parts.platform.table);
+    if (table.ok) this.parts.tell({ kind: "table", table: table.val });
+  }
+
+  #isRegisteredAtHome(registrations: readonly Registration[]): boolean {
+    const { entry, incarnation, zone } = this.parts.self;
+    const home = registrations.find((r) => r.zone === zone);
+    return isRegistered(home, entry, incarnation);
+  }
+
+  async #register(registrations: readonly Registration[]): Promise<void> {
+    const { self } = this.parts;
+    for (const zone of this.#zones(registrations)) {
+      const row = registrations.find((r) => r.zone === zone);
+      if (isRegistered(row, self.entry, self.incarnation)) continue;
+      const others = (row?.entries ?? []).filter((e) => e.entry !== self.entry);
+      const restarted = others.length < (row?.entries.length ?? 0);
+      const wanted = zone === self.zone || restarted ||
+        this.#isNeighbourFor(zone, others);
+      if (wanted) await this.#registerFor(zone);
+    }
+  }
+
+  async #registerFor(zone: string): Promise<void> {
+    await changeRegistration(
+      this.parts.platform.table,
+      zone,
+      this.parts.ids.next(),
+      (row) => addEntry(row, this.parts.self),
+    );
+  }
+
+  #zones(registrations: readonly Registration[]): readonly string[] {
+    const zones = new Set([this.parts.self.zone]);
+    for (const row of registrations) zones.add(row.zone);
+    for (const host of this.parts.state().hosts.values()) zones.add(host.zone);
+    return [...zones];
+  }
+
+  /** Whether this entry is the first choice for a zone that needs another. */
+  #isNeighbourFor(zone: string, registered: readonly RegisteredEntry[]) {
+    if (registered.length === 0 || registered.length >= entriesPerZone) {
+      return false;
+    }
+    const taken = new Set(registered.map((e) => e.entry));
+    const free = this.parts.members()
+      .map((m) => ({ entry: m.hello.entry, zone: m.hello.zone }))
+      .concat({ entry: this.parts.self.entry, zone: this.parts.self.zone })
+      .filter((c) => !taken.has(c.entry) && c.zone !== zone);
+    return rankOwners(zone, zone, free)[0] === this.parts.self.entry;
+  }
+}
--- /dev/null
+++ b/src/entry/pressure.ts
@@ -0,0 +1,38 @@
+/** Load of every pool over all entries, for the decision on moves. */
+import type { MoveView } from "../maintenance/index.ts";
+import type { Member } from "../peers/index.ts";
+import type { Scheduler } from "../pipeline/index.ts";
+import type { Table } from "../table/index.ts";
+
+/** Adds up the loads of this entry and its peers. */
+export function fleetPressure(
+  table: Table,
+  scheduler: Scheduler,
+  members: readonly Member[],
+): Pick<MoveView, "pools" | "busy"> {
+  const busy = new Map(scheduler.busyByHost());
+  for (const { heartbeat } of members) {
+    for (const [host, count] of Object.entries(heartbeat?.busy ?? {})) {
+      busy.set(host, (busy.get(host) ?? 0) + count);
+    }
+  }
+  const pools = table.pools().map((row) => {
+    let { slots, free, urgent } = scheduler.load(row.name);
+    for (const { heartbeat } of members) {
+      const load = heartbeat?.loads[row.name];
+      if (load === undefined) continue;
+      slots += load.slots;
+      free += load.free;
+      urgent += load.urgent;
+    }
+    return {
+      pool: row.name,
+      spare: row.spare,
+      budget: row.budget,
+      slots,
+      free,
+      queuedUrgent: urgent,
+    };
+  });
+  return { pools, busy };
+}
--- /dev/null
+++ b/src/errors/index.ts
@@ -0,0 +1,14 @@
+/** Numbered result codes and typed failures. */
+export {
+  codes,
+  type ResultCode,
+  resultCode,
+  type RunProof,
+} from "./result_code.ts";
+export {
+  describeError,
+  fail,
+  type Failure,
+  type Issue,
+  type RowConflict,
+} from "./failure.ts";
--- /dev/null
+++ b/src/errors/result_code.ts
@@ -0,0 +1,368 @@
+/**
+ * The numbered results of every request, edit and command.
+ *
+ * A code states whether the request ran. `not-run` is a proof: no byte of the
+ * request was sent to an endpoint, or the platform's record shows that it was
+ * not started. Thousands group the codes: 1 success, 2 refused, 3 outcome
+ * unknown, 4 failed at the endpoint, 5 operator, 6 settings, 7 platform,
+ * 8 peer link.
+ */
+
+/** What is known about the execution of a request. */
+export type RunProof = "done" | "not-run" | "unknown" | "none";
+
+/** A numbered result with its HTTP status. */
+export interface ResultCode {
+  readonly code: number;
+  readonly name: string;
+  readonly http: number;
+  readonly run: RunProof;
+  readonly meaning: string;
+}
+
+function define(
+  code: number,
+  name: string,
+  http: number,
+  run: RunProof,
+  meaning: string,
+): ResultCode {
+  return Object.freeze({ code, name, http, run, meaning });
+}
+
+/** Every result code by its name in the source. */
+export const codes = {
+  ok: define(1000, "ok", 200, "done", "The endpoint's whole answer."),
+  accepted: define(
+    1001,
+    "accepted",
+    202,
+    "none",
+    "The job is committed and will be run.",
+  ),
+  queueFull: define(
+    2001,
+    "queue-full",
+    503,
+    "not-run",
+    "The queue of the class is at its limit.",
+  ),
+  deadline: define(
+    2002,
+    "deadline",
+    503,
+    "not-run",
+    "The request could not start before its deadline.",
+  ),
+  rateLimited: define(
+    2003,
+    "rate-limited",
+    429,
+    "not-run",
+    "The class is above its rate limit.",
+  ),
+  concurrencyLimited: define(
+    2004,
+    "concurrency-limited",
+    429,
+    "not-run",
+    "The class is at its concurrency limit.",
+  ),
+  noHost: define(
+    2005,
+    "no-host",
+    503,
+    "not-run",
+    "No host of the pool can be reached from here.",
+  ),
+  shuttingDown: define(
+    2006,
+    "shutting-down",
+    503,
+    "not-run",
+    "The entry is shutting down.",
+  ),
+  notReady: define(
+    2007,
+    "not-ready",
+    503,
+    "not-run",
+    "The entry does not hold a table yet.",
+  ),
+  cancelled: define(
+    2008,
+    "cancelled",
+    499,
+    "not-run",
+    "The caller cancelled before the request started.",
+  ),
+  unknownClass: define(
+    2009,
+    "unknown-class",
+    404,
+    "not-run",
+    "The table holds no class of this name.",
+  ),
+  bodyTooLarge: define(
+    2010,
+    "body-too-large",
+    413,
+    "not-run",
+    "The request body exceeds the limit.",
+  ),
+  badRequest: define(
+    2011,
+    "bad-request",
+    400,
+    "not-run",
+    "The request is malformed.",
+  ),
+  methodNotAllowed: define(
+    2012,
+    "method-not-allowed",
+    405,
+    "not-run",
+    "The method is not accepted.",
+  ),
+  keyRequired: define(
+    2013,
+    "key-required",
+    400,
+    "not-run",
+    "The class runs at most once and needs an Idempotency-Key.",
+  ),
+  recordUnavailable: define(
+    2014,
+    "record-unavailable",
+    503,
+    "not-run",
+    "The platform could not record the request.",
+  ),
+  slowCaller: define(
+    2015,
+    "slow-caller",
+    408,
+    "not-run",
+    "The caller sent its request too slowly.",
+  ),
+  keyReused: define(
+    2016,
+    "key-reused",
+    422,
+    "not-run",
+    "The Idempotency-Key was used with a different request.",
+  ),
+  headersTooLarge: define(
+    2017,
+    "headers-too-large",
+    431,
+    "not-run",
+    "The request headers exceed the limit.",
+  ),
+  jobCancelled: define(
+    2018,
+    "job-cancelled",
+    409,
+    "not-run",
+    "The job was cancelled before it started.",
+  ),
+  connectFailed: define(
+    2019,
+    "connect-failed",
+    502,
+    "not-run",
+    "No connection to a host could be opened.",
+  ),
+  connectionLost: define(
+    3001,
+    "connection-lost",
+    502,
+    "unknown",
+    "The connection to the endpoint broke after the request was sent.",
+  ),
+  runTimeout: define(
+    3002,
+    "run-timeout",
+    504,
+    "unknown",
+    "The endpoint did not answer within the run time of the class.",
+  ),
+  truncated: define(
+    3003,
+    "truncated",
+    502,
+    "unknown",
+    "The endpoint's answer was cut short.",
+  ),
+  wrongAnswer: define(
+    3004,
+    "wrong-answer",
+    502,
+    "unknown",
+    "The answer belonged to another request.",
+  ),
+  peerLost: define(
+    3005,
+    "peer-lost",
+    502,
+    "unknown",
+    "The link to the owner of the host broke after the request was sent.",
+  ),
+  unsettled: define(
+    3006,
+    "unsettled",
+    409,
+    "unknown",
+    "The run may have happened; an operator has to settle it.",
+  ),
+  stillRunning: define(
+    3007,
+    "still-running",
+    202,
+    "unknown",
+    "The job has not finished yet.",
+  ),
+  internal: define(
+    3008,
+    "internal",
+    500,
+    "unknown",
+    "An unexpected fault inside the entry.",
+  ),
+  recordUnknown: define(
+    3009,
+    "record-unknown",
+    504,
+    "unknown",
+    "The job may be recorded; ask again with the same Idempotency-Key.",
+  ),
+  endpointFailed: define(
+    4001,
+    "endpoint-failed",
+    502,
+    "done",
+    "The endpoint ran the request and answered with a server error.",
+  ),
+  parked: define(
+    4002,
+    "parked",
+    409,
+    "done",
+    "The job failed too often and is parked until an operator resumes it.",
+  ),
+  unauthorised: define(
+    5001,
+    "unauthorised",
+    401,
+    "none",
+    "The bearer token is missing or wrong.",
+  ),
+  editConflict: define(
+    5002,
+    "edit-conflict",
+    409,
+    "none",
+    "Another edit changed the same row first.",
+  ),
+  tableInvalid: define(
+    5003,
+    "table-invalid",
+    422,
+    "none",
+    "The edited table breaks a rule.",
+  ),
+  budgetExceeded: define(
+    5004,
+    "budget-exceeded",
+    409,
+    "none",
+    "The pool's availability budget does not allow the change.",
+  ),
+  notFound: define(5005, "not-found", 404, "none", "No such object."),
+  stateConflict: define(
+    5006,
+    "state-conflict",
+    409,
+    "none",
+    "The object is not in a state that allows the change.",
+  ),
+  badCommand: define(
+    5007,
+    "bad-command",
+    400,
+    "none",
+    "The command or its arguments are malformed.",
+  ),
+  entryUnreachable: define(
+    5008,
+    "entry-unreachable",
+    503,
+    "none",
+    "The operator API could not be reached.",
+  ),
+  notInForce: define(
+    5009,
+    "not-in-force",
+    504,
+    "none",
+    "The edit is committed; some entries have not confirmed it.",
+  ),
+  settingsUnreadable: define(
+    6001,
+    "settings-unreadable",
+    400,
+    "none",
+    "The settings file cannot be read or parsed.",
+  ),
+  settingsInvalid: define(
+    6002,
+    "settings-invalid",
+    400,
+    "none",
+    "The settings file breaks the schema.",
+  ),
+  platformDown: define(
+    7001,
+    "platform-down",
+    503,
+    "none",
+    "The platform's service refused or could not be reached; nothing was written.",
+  ),
+  commitUnknown: define(
+    7002,
+    "commit-unknown",
+    504,
+    "none",
+    "The platform's answer was lost; the write may have taken effect.",
+  ),
+  rowInvalid: define(
+    7003,
+    "row-invalid",
+    500,
+    "none",
+    "A row in the platform's table breaks its schema.",
+  ),
+  commitRefused: define(
+    7004,
+    "commit-refused",
+    400,
+    "none",
+    "The platform's service found the transaction malformed.",
+  ),
+  frameInvalid: define(
+    8001,
+    "frame-invalid",
+    400,
+    "none",
+    "A peer frame broke the schema or the size limit.",
+  ),
+} as const;
+
+const byNumber = new Map<number, ResultCode>(
+  Object.values(codes).map((c) => [c.code, c]),
+);
+
+/** Finds a code by its number; unknown numbers become `internal`. */
+export function resultCode(code: number): ResultCode {
+  return byNumber.get(code) ?? codes.internal;
+}
--- /dev/null
+++ b/src/fleet/fleet_state.ts
@@ -0,0 +1,159 @@
+/**
+ * What an entry knows of the fleet: the table, the hosts, and the
+ * registrations, as one immutable value that only moves forward.
+ */
+import {
+  applyHosts,
+  type Host,
+  type HostMap,
+  isServing,
+  type Registration,
+} from "../hosts/index.ts";
+import type { ListedHost } from "../platform/index.ts";
+import { applyDelta, Table, type TableDelta } from "../table/index.ts";
+
+/** An entry's knowledge of the fleet. */
+export interface FleetState {
+  readonly table: Table;
+  readonly hosts: HostMap;
+  /** Hosts that the platform lists as leaving or gone. */
+  readonly unlisted: ReadonlySet<string>;
+  readonly registrations: ReadonlyMap<string, Registration>;
+}
+
+export const emptyFleet: FleetState = {
+  table: Table.empty,
+  hosts: new Map(),
+  unlisted: new Set(),
+  registrations: new Map(),
+};
+
+/** News about the fleet. */
+export type FleetEvent =
+  /** The committed table as the platform holds it. */
+  | { readonly kind: "table"; readonly table: Table }
+  /** A delta that a peer sent. */
+  | {
+    readonly kind: "delta";
+    readonly delta: TableDelta;
+    readonly from: string;
+  }
+  /** Host rows from the platform or a peer. */
+  | { readonly kind: "hosts"; readonly rows: readonly Host[] }
+  /** Hosts that a peer found listed as leaving or gone. */
+  | { readonly kind: "unlisted"; readonly names: readonly string[] }
+  /** The platform's list. */
+  | { readonly kind: "list"; readonly hosts: readonly ListedHost[] }
+  | { readonly kind: "registrations"; readonly rows: readonly Registration[] };
+
+/** What to do after an event. */
+export type FleetEffect =
+  /** Sends the table to the peers as a delta against its predecessor. */
+  | { readonly kind: "push-table"; readonly base: Table; readonly next: Table }
+  /** Asks a peer for its whole table. */
+  | { readonly kind: "ask-table"; readonly peer: string }
+  /** Sends host rows and unlisted hosts to the peers. */
+  | {
+    readonly kind: "push-hosts";
+    readonly rows: readonly Host[];
+    readonly unlisted: readonly string[];
+  };
+
+/** A state after an event, with the effects to carry out. */
+export interface FleetStep {
+  readonly state: FleetState;
+  readonly effects: readonly FleetEffect[];
+}
+
+/** Applies an event. Versions and epochs never decrease. */
+export function applyFleetEvent(
+  state: FleetState,
+  event: FleetEvent,
+): FleetStep {
+  switch (event.kind) {
+    case "table":
+      return adoptTable(state, event.table);
+    case "delta":
+      return adoptDelta(state, event.delta, event.from);
+    case "hosts":
+      return adoptHosts(state, event.rows);
+    case "unlisted":
+      return addUnlisted(state, event.names);
+    case "list":
+      return adoptList(state, event.hosts);
+    case "registrations":
+      return {
+        state: {
+          ...state,
+          registrations: new Map(event.rows.map((r) => [r.zone, r])),
+        },
+        effects: [],
+      };
+  }
+}
+
+function adoptTable(state: FleetState, table: Table): FleetStep {
+  if (table.version <= state.table.version) return { state, effects: [] };
+  const push = { kind: "push-table", base: state.table, next: table } as const;
+  return { state: { ...state, table }, effects: [push] };
+}
+
+function adoptDelta(
+  state: FleetState,
+  delta: TableDelta,
+  peer: string,
+): FleetStep {
+  const outcome = applyDelta(state.table, delta);
+  if (outcome.kind === "applied") return adoptTable(state, outcome.table);
+  if (outcome.kind === "stale") return { state, effects: [] };
+  return { state, effects: [{ kind: "ask-table", peer }] };
+}
+
+function adoptHosts(state: FleetState, rows: readonly Host[]): FleetStep {
+  const { hosts, changed } = applyHosts(state.hosts, rows);
+  if (changed.length === 0) return { state, effects: [] };
+  return {
+    state: { ...state, hosts },
+    effects: [{ kind: "push-hosts", rows: changed, unlisted: [] }],
+  };
+}
+
+function addUnlisted(state: FleetState, names: readonly string[]): FleetStep {
+  const fresh = names.filter((name) => !state.unlisted.has(name));
+  if (fresh.length === 0) return { state, effects: [] };
+  const unlisted = new Set([...state.unlisted, ...fresh]);
+  return {
+    state: { ...state, unlisted },
+    effects: [{ kind: "push-hosts", rows: [], unlisted: fresh }],
+  };
+}
+
+function adoptList(
+  state: FleetState,
+  listed: readonly ListedHost[],
+): FleetStep {
+  const names = listed
+    .filter((h) => h.role === "worker" && h.state !== "live")
+    .map((h) => h.name);
+  const fresh = names.filter((name) => !state.unlisted.has(name));
+  const next = { ...state, unlisted: new Set(names) };
+  if (fresh.length === 0) return { state: next, effects: [] };
+  return {
+    state: next,
+    effects: [{ kind: "push-hosts", rows: [], unlisted: fresh }],
+  };
+}
+
+/** Hosts that may receive work, by the state known here. */
+export function servingHosts(state: FleetState): readonly Host[] {
+  return [...state.hosts.values()].filter((host) =>
+    isServing(host) && !state.unlisted.has(host.name)
+  );
+}
+
+/** Sum of all known epochs; peers compare it to find missing rows. */
+export function epochSum(state: FleetState): number {
+  let sum = 0;
+  for (const host of state.hosts.values()) sum += host.epoch;
+  return sum;
+}
--- /dev/null
+++ b/src/fleet/index.ts
@@ -0,0 +1,11 @@
+/** An entry's knowledge of the fleet. */
+export {
+  applyFleetEvent,
+  emptyFleet,
+  epochSum,
+  type FleetEffect,
+  type FleetEvent,
+  type FleetState,
+  type FleetStep,
+  servingHosts,
+} from "./fleet_state.ts";
--- /dev/null
+++ b/src/hosts/index.ts
@@ -0,0 +1,34 @@
+/** Hosts: rows, epochs, owners, registrations, and health. */
+export {
+  finishDrain,
+  type Host,
+  hostKey,
+  hostPrefix,
+  hostSchema,
+  type HostState,
+  isServing,
+  markLeaving,
+  returnToService,
+  startDrain,
+  startMaintenance,
+} from "./host.ts";
+export { applyHosts, type HostMap, type HostUpdate } from "./host_map.ts";
+export { type Candidate, ownerOf, rankOwners } from "./owners.ts";
+export {
+  addEntry,
+  changeRegistration,
+  isRegistered,
+  type RegisteredEntry,
+  type Registration,
+  registrationKey,
+  registrationPrefix,
+  registrationSchema,
+  removeEntry,
+} from "./registration.ts";
+export {
+  ejectHost,
+  type Health,
+  recordOutcome,
+  soundHealth,
+  usableSlots,
+} from "./health.ts";
--- /dev/null
+++ b/src/jobs/index.ts
@@ -0,0 +1,21 @@
+/** Recorded jobs: at-most-once runs and asynchronous patient work. */
+export {
+  type Claimer,
+  claimJob,
+  failJob,
+  finishJob,
+  isEnded,
+  type Job,
+  type JobResult,
+  jobSchema,
+  type JobState,
+  keyedJobId,
+  openKey,
+  openPrefix,
+  startJob,
+  unstartJob,
+} from "./job.ts";
+export { JobStore, type JobWrite, type StoredJob } from "./job_store.ts";
+export { JobRunner, type JobRunnerParts } from "./job_runner.ts";
+export { JobService, type Settlement } from "./job_service.ts";
+export { JobRecovery } from "./job_recovery.ts";
--- /dev/null
+++ b/src/jobs/job_service.ts
@@ -0,0 +1,261 @@
+/**
+ * Jobs as callers and operators see them: submission, waiting, cancellation,
+ * and settlement.
+ */
+import { Ok, type Result } from "ts-results";
+import { auditWrite } from "../audit/index.ts";
+import { codes, fail, type Failure } from "../errors/index.ts";
+import { type Clock, delay, type IdSource } from "../clock/index.ts";
+import type { CallerRequest } from "../pipeline/index.ts";
+import type { ChangeContext } from "../table/index.ts";
+import {
+  type Claimer,
+  claimJob,
+  isEnded,
+  type Job,
+  type JobState,
+  keyedJobId,
+  requestDigest,
+} from "./job.ts";
+import type { JobRunner } from "./job_runner.ts";
+import type { JobStore, JobWrite, StoredJob } from "./job_store.ts";
+
+const pollMs = 250;
+
+/** What the service needs of the entry. */
+export interface JobServiceParts {
+  readonly store: JobStore;
+  readonly runner: JobRunner;
+  readonly claimer: Claimer;
+  readonly ids: IdSource;
+  readonly clock: Clock;
+}
+
+/** How an operator settles a job whose outcome is unknown. */
+export type Settlement = "done" | "not-run";
+
+/** Accepts, watches, cancels, and settles jobs. */
+export class JobService {
+  /** Jobs that this entry works on, with the end of that work. */
+  #ends = new Map<string, Promise<StoredJob | undefined>>();
+
+  constructor(private readonly parts: JobServiceParts) {}
+
+  /**
+   * Records a job and begins to run it. A repeated key yields the recorded
+   * job. Fails with `keyReused`, `recordUnavailable` (nothing is recorded)
+   * or `recordUnknown` (the job may be recorded, and runs if it is).
+   */
+  async submit(req: CallerRequest): Promise<Result<StoredJob, Failure>> {
+    const id = req.key === undefined
+      ? this.parts.ids.next()
+      : keyedJobId(req.class.name, req.key);
+    const body = await this.parts.store.saveBody(`${id}.request`, req.body);
+    if (body.err) return fail(codes.recordUnavailable, body.val.message);
+    const job: Job = {
+      id,
+      class: req.class.name,
+      once: req.class.repeat === "once",
+      key: req.key,
+      digest: requestDigest(req.method, req.path, req.body),
+      method: req.method,
+      path: req.path,
+      headers: { ...req.headers },
+      body: body.val,
+      state: "claimed",
+      claimer: this.parts.claimer,
+      failures: 0,
+      createdAt: this.parts.clock.wall(),
+    };
+    const operation = this.parts.ids.next();
+    const write = await this.parts.store.create(job, operation);
+    if (write.ok) return this.#accept(job, write.val);
+    if (write.val.code === codes.commitUnknown) {
+      this.#resolveLater(job, operation);
+      return fail(codes.recordUnknown, write.val.message);
+    }
+    return fail(codes.recordUnavailable, write.val.message);
+  }
+
+  /** Takes over an open job of an entry that is gone. */
+  async takeOver(job: StoredJob): Promise<void> {
+    const operation = this.parts.ids.next();
+    const claimed = claimJob(job.value, this.parts.claimer);
+    const write = await this.parts.store.replace(job, claimed, operation);
+    if (write.ok && write.val.kind === "written") this.#begin(write.val.job);
+  }
+
+  /** Whether this entry works on a job. */
+  isWorkingOn(id: string): boolean {
+    return this.#ends.has(id);
+  }
+
+  #accept(job: Job, write: JobWrite): Result<StoredJob, Failure> {
+    if (write.kind === "written") {
+      this.#begin(write.job);
+      return Ok(write.job);
+    }
+    const existing = write.job;
+    if (existing === undefined) {
+      return fail(codes.recordUnavailable, `job ${job.id} is changing`);
+    }
+    if (existing.value.digest !== job.digest) {
+      return fail(codes.keyReused, codes.keyReused.meaning);
+    }
+    return Ok(existing);
+  }
+
+  #begin(job: StoredJob): void {
+    const { id } = job.value;
+    const end = this.parts.runner.run(job);
+    this.#ends.set(id, end);
+    end.finally(() => this.#ends.delete(id));
+  }
+
+  /** Learns whether a creation took effect, and runs the job if so. */
+  async #resolveLater(job: Job, operation: string): Promise<void> {
+    for (;;) {
+      await delay(this.parts.clock, pollMs);
+      const write = await this.parts.store.create(job, operation);
+      if (write.err) continue;
+      if (write.val.kind === "written") this.#begin(write.val.job);
+      return;
+    }
+  }
+
+  /** Finds a job. Fails with `notFound` or as the table service does. */
+  async find(id: string): Promise<Result<StoredJob, Failure>> {
+    const found = await this.parts.store.find(id);
+    if (found.err) return found;
+    if (found.val === undefined) {
+      return fail(codes.notFound, `job ${id} does not exist`);
+    }
+    return Ok(found.val);
+  }
+
+  /** Waits until a job needs no more waiting, or the time in ms is over. */
+  async wait(
+    id: string,
+    limitMs: number,
+    signal: AbortSignal,
+  ): Promise<Result<StoredJob, Failure>> {
+    const giveUpAt = this.parts.clock.now() + limitMs;
+    const local = this.#ends.get(id);
+    if (local !== undefined) {
+      const pause = Math.min(limitMs, maxTimerMs);
+      const ended = await Promise.race([
+        local,
+        delay(this.parts.clock, pause).then(() => undefined),
+        aborted(signal),
+      ]);
+      if (ended !== undefined && isSettled(ended.value)) return Ok(ended);
+    }
+    for (;;) {
+      const found = await this.find(id);
+      if (found.ok && isSettled(found.val.value)) return found;
+      if (found.err && found.val.code === codes.notFound) return found;
+      const over = this.parts.clock.now() >= giveUpAt;
+      if (over || signal.aborted) return found;
+      await delay(this.parts.clock, pollMs);
+    }
+  }
+
+  /** Cancels a job that has not started. Fails with `stateConflict`. */
+  async cancel(
+    id: string,
+    ctx: ChangeContext,
+  ): Promise<Result<StoredJob, Failure>> {
+    const allowed: readonly JobState[] = ["claimed", "parked"];
+    const ended = await this.#change(id, allowed, ctx, "job.cancel", (job) => ({
+      ...job,
+      state: "cancelled",
+    }));
+    if (ended.ok) this.parts.runner.abort(id);
+    return ended;
+  }
+
+  /** Settles a job whose outcome is unknown. Fails with `stateConflict`. */
+  async settle(
+    id: string,
+    as: Settlement,
+    ctx: ChangeContext,
+  ): Promise<Result<StoredJob, Failure>> {
+    const state = as === "done" ? "done" : "cancelled";
+    return await this.#change(id, ["unknown"], ctx, "job.settle", (job) => ({
+      ...job,
+      state,
+      note: `settled as ${as} by ${ctx.who}`,
+    }));
+  }
+
+  /** Resumes a parked job on this entry. Fails with `stateConflict`. */
+  async resume(
+    id: string,
+    ctx: ChangeContext,
+  ): Promise<Result<StoredJob, Failure>> {
+    const resumed = await this.#change(
+      id,
+      ["parked"],
+      ctx,
+      "job.resume",
+      (job) => ({ ...claimJob(job, this.parts.claimer), failures: 0 }),
+    );
+    if (resumed.ok) this.#begin(resumed.val);
+    return resumed;
+  }
+
+  /** Every job. */
+  async list(): Promise<Result<readonly StoredJob[], Failure>> {
+    return await this.parts.store.all();
+  }
+
+  async #change(
+    id: string,
+    allowed: readonly JobState[],
+    ctx: ChangeContext,
+    action: string,
+    change: (job: Job) => Job,
+  ): Promise<Result<StoredJob, Failure>> {
+    const found = await this.find(id);
+    if (found.err) return found;
+    const { value } = found.val;
+    if (!allowed.includes(value.state)) {
+      return fail(codes.stateConflict, `job ${id} is ${value.state}`);
+    }
+    const next = change(value);
+    const record = auditWrite({
+      at: ctx.at,
+      who: ctx.who,
+      action,
+      subject: `job ${id}`,
+      before: value.state,
+      after: next.state,
+      operation: ctx.operation,
+    });
+    const write = await this.parts.store.replace(
+      found.val,
+      next,
+      ctx.operation,
+      [record],
+    );
+    if (write.err) return write;
+    if (write.val.kind === "changed") {
+      return fail(codes.stateConflict, `job ${id} changed meanwhile`);
+    }
+    return Ok(write.val.job);
+  }
+}
+
+const maxTimerMs = 2_000_000_000;
+
+/** Whether waiting longer would change nothing without an operator. */
+function isSettled(job: Job): boolean {
+  return isEnded(job) || job.state === "parked" || job.state === "unknown";
+}
+
+function aborted(signal: AbortSignal): Promise<undefined> {
+  return new Promise((resolve) => {
+    if (signal.aborted) resolve(undefined);
+    else signal.addEventListener("abort", () => resolve(undefined));
+  });
+}
--- /dev/null
+++ b/src/jobs/job_store.ts
@@ -0,0 +1,138 @@
+/** Jobs in the platform's table, with large bodies in its object store. */
+import { Buffer } from "node:buffer";
+import { Ok, type Result } from "ts-results";
+import { codes, fail, type Failure } from "../errors/index.ts";
+import {
+  decodeRow,
+  decodeRows,
+  type Platform,
+  type Stored,
+  type Write,
+} from "../platform/index.ts";
+import {
+  endedKey,
+  endedPrefix,
+  isEnded,
+  type Job,
+  jobSchema,
+  openKey,
+  openPrefix,
+  type StoredBody,
+} from "./job.ts";
+
+/** Bodies up to this size stay in the row. */
+const inlineBytes = 8_192;
+
+/** A job with the version of its row. */
+export type StoredJob = Stored<Job>;
+
+/** What a conditional write came to. */
+export type JobWrite =
+  | { readonly kind: "written"; readonly job: StoredJob }
+  /** The row has changed; `job` is what it holds now. */
+  | { readonly kind: "changed"; readonly job: StoredJob | undefined };
+
+/** Reads and writes jobs. */
+export class JobStore {
+  constructor(private readonly platform: Platform) {}
+
+  /** Adds a job unless its id is taken. Fails as the table service does. */
+  async create(
+    job: Job,
+    operation: string,
+  ): Promise<Result<JobWrite, Failure>> {
+    const outcome = await this.platform.table.commit({
+      operation,
+      checks: [
+        { key: openKey(job.id), version: 0 },
+        { key: endedKey(job.id), version: 0 },
+      ],
+      writes: [{ key: openKey(job.id), value: job }],
+    });
+    return await this.#written(outcome, job);
+  }
+
+  /**
+   * Replaces a job's row when it is unchanged. An ended job moves out of the
+   * open ones in the same transaction.
+   */
+  async replace(
+    from: StoredJob,
+    to: Job,
+    operation: string,
+    extra: readonly Write[] = [],
+  ): Promise<Result<JobWrite, Failure>> {
+    const writes: Write[] = isEnded(to)
+      ? [
+        { key: openKey(to.id), value: null },
+        { key: endedKey(to.id), value: to },
+      ]
+      : [{ key: openKey(to.id), value: to }];
+    const outcome = await this.platform.table.commit({
+      operation,
+      checks: [{ key: from.key, version: from.version }],
+      writes: [...writes, ...extra],
+    });
+    return await this.#written(outcome, to);
+  }
+
+  async #written(
+    outcome: Awaited<ReturnType<Platform["table"]["commit"]>>,
+    job: Job,
+  ): Promise<Result<JobWrite, Failure>> {
+    if (outcome.err) return outcome;
+    if (outcome.val.kind === "committed") {
+      const key = isEnded(job) ? endedKey(job.id) : openKey(job.id);
+      const { version } = outcome.val;
+      return Ok({ kind: "written", job: { key, version, value: job } });
+    }
+    if (outcome.val.kind === "refused") {
+      return fail(codes.commitRefused, outcome.val.message);
+    }
+    const current = await this.find(job.id);
+    return current.map((found) => ({ kind: "changed", job: found } as const));
+  }
+
+  /** Finds a job by id. */
+  async find(id: string): Promise<Result<StoredJob | undefined, Failure>> {
+    const keys = [openKey(id), endedKey(id)];
+    const rows = await this.platform.table.read({ keys });
+    if (rows.err) return rows;
+    const row = rows.val[0];
+    return row === undefined ? Ok(undefined) : decodeRow(jobSchema, row);
+  }
+
+  /** Every job that has not ended. */
+  async open(): Promise<Result<readonly StoredJob[], Failure>> {
+    const rows = await this.platform.table.read({ prefixes: [openPrefix] });
+    return rows.map((list) => decodeRows(jobSchema, list, openPrefix));
+  }
+
+  /** Every job, ended ones included. */
+  async all(): Promise<Result<readonly StoredJob[], Failure>> {
+    const prefixes = [openPrefix, endedPrefix];
+    const rows = await this.platform.table.read({ prefixes });
+    return rows.map((list) => decodeRows(jobSchema, list, ""));
+  }
+
+  /** Stores a body where its size belongs. */
+  async saveBody(
+    name: string,
+    bytes: Uint8Array,
+  ): Promise<Result<StoredBody, Failure>> {
+    if (bytes.length <= inlineBytes) {
+      const base64 = Buffer.from(bytes).toString("base64");
+      return Ok({ kind: "inline", base64 });
+    }
+    const put = await this.platform.objects.put(name, bytes);
+    return put.map(() => ({ kind: "object", name } as const));
+  }
+
+  /** Loads a stored body. */
+  async loadBody(body: StoredBody): Promise<Result<Uint8Array, Failure>> {
+    if (body.kind === "object") {
+      return await this.platform.objects.get(body.name);
+    }
+    return Ok(new Uint8Array(Buffer.from(body.base64, "base64")));
+  }
+}
--- /dev/null
+++ b/src/maintenance/drain.ts
@@ -0,0 +1,221 @@
+/**
+ * Taking a host out of service: one transaction over the host's row and its
+ * pool's budget row, with an audit record.
+ */
+import { Ok, type Result } from "ts-results";
+import { auditWrite } from "../audit/index.ts";
+import { codes, fail, type Failure } from "../errors/index.ts";
+import type { EndpointClient } from "../endpoint/index.ts";
+import {
+  type Host,
+  hostKey,
+  type HostMap,
+  hostPrefix,
+  hostSchema,
+  startDrain,
+} from "../hosts/index.ts";
+import {
+  type Check,
+  decodeRow,
+  decodeRows,
+  type Platform,
+  type Row,
+  type Stored,
+  type Write,
+} from "../platform/index.ts";
+import { type ChangeContext, tableRowSchema } from "../table/index.ts";
+import {
+  budgetKey,
+  type BudgetRow,
+  budgetRowSchema,
+  checkBudget,
+  emptyBudget,
+  type PoolView,
+} from "./budget.ts";
+
+const maxAttempts = 6;
+
+/** Services that a drain uses. */
+export interface DrainParts {
+  readonly platform: Pick<Platform, "table" | "listHosts">;
+  readonly endpoints: Pick<EndpointClient, "health">;
+}
+
+/** A wish to take a host out of service. */
+export interface DrainOrder {
+  readonly host: string;
+  /** What orders the drain: `operator`, `move`, or a wave id. */
+  readonly cause: string;
+  /** Pool that the host moves to. */
+  readonly target?: string;
+  /** Further row versions that the change depends on. */
+  readonly checks?: readonly Check[];
+  /** Further rows that are written in the same transaction. */
+  readonly writes?: readonly Write[];
+}
+
+/** A committed drain. */
+export interface Drained {
+  readonly host: Host;
+  /** Version of all rows that the transaction wrote. */
+  readonly version: number;
+}
+
+/** Everything that a drain decides on, with the row versions behind it. */
+export interface Decision {
+  readonly host: Stored<Host>;
+  readonly view: PoolView;
+  readonly budget: Stored<BudgetRow>;
+  readonly checks: readonly Check[];
+}
+
+/**
+ * Drains a host within its pool's budget. Fails with
+ * `notFound`, `stateConflict`, `budgetExceeded`, `platformDown`, or
+ * `commitUnknown`.
+ */
+export async function drainHost(
+  parts: DrainParts,
+  order: DrainOrder,
+  ctx: ChangeContext,
+): Promise<Result<Drained, Failure>> {
+  for (let attempt = 0; attempt < maxAttempts; attempt++) {
+    const decision = await gatherDecision(parts, order);
+    if (decision.err) return decision;
+    const { host, view, budget, checks } = decision.val;
+    const next = startDrain(host.value, order.cause, order.target);
+    if (next.err) return next;
+    const allowed = checkBudget(view, host.value);
+    if (allowed.err) return allowed;
+    const outcome = await parts.platform.table.commit({
+      operation: `${ctx.operation}/${attempt}`,
+      checks: [...checks, ...(order.checks ?? [])],
+      writes: [
+        ...drainWrites(host.value, next.val, budget.value, ctx),
+        ...(order.writes ?? []),
+      ],
+    });
+    if (outcome.err) return outcome;
+    if (outcome.val.kind === "committed") {
+      return Ok({ host: next.val, version: outcome.val.version });
+    }
+    if (outcome.val.kind === "refused") {
+      return fail(codes.commitRefused, outcome.val.message);
+    }
+  }
+  return fail(codes.stateConflict, `host ${order.host} keeps changing`);
+}
+
+function drainWrites(
+  before: Host,
+  after: Host,
+  budget: BudgetRow,
+  ctx: ChangeContext,
+): Write[] {
+  return [
+    { key: hostKey(after.name), value: after },
+    {
+      key: budgetKey(before.pool),
+      value: { ...budget, changes: budget.changes + 1 },
+    },
+    auditWrite({
+      at: ctx.at,
+      who: ctx.who,
+      action: after.target === undefined ? "host.drain" : "host.move",
+      subject: `host ${after.name}`,
+      before,
+      after,
+      operation: ctx.operation,
+    }),
+  ];
+}
+
+/** Reads the rows, the list, and the health of a host's pool. */
+export async function gatherDecision(
+  parts: DrainParts,
+  order: Pick<DrainOrder, "host" | "target">,
+): Promise<Result<Decision, Failure>> {
+  const rows = await parts.platform.table.read({
+    prefixes: [hostPrefix, "budget/", "table/row/pool/"],
+  });
+  if (rows.err) return rows;
+  const listed = await parts.platform.listHosts();
+  if (listed.err) return listed;
+  const stored = decodeRows(hostSchema, rows.val, hostPrefix);
+  const host = stored.find((h) => h.value.name === order.host);
+  if (host === undefined) {
+    return fail(codes.notFound, `host ${order.host} does not exist`);
+  }
+  const { pool } = host.value;
+  const poolRow = rows.val.find((r) => r.key === `table/row/pool/${pool}`);
+  const missing = missingTarget(rows.val, order.target);
+  if (missing !== undefined) return missing;
+  const hosts = new Map(stored.map((h) => [h.value.name, h.value]));
+  const budget = budgetOf(rows.val, pool);
+  const live = listed.val.filter((h) => h.state === "live").map((h) => h.name);
+  const view: PoolView = {
+    pool,
+    budget: budgetSize(poolRow),
+    hosts,
+    unlisted: complement(hosts, new Set(live)),
+    failed: await failedHosts(parts, hosts, pool),
+    ejected: new Set(budget.value.ejected),
+  };
+  return Ok({
+    host,
+    view,
+    budget,
+    checks: [
+      { key: host.key, version: host.version },
+      { key: budget.key, version: budget.version },
+      {
+        key: `table/row/pool/${pool}`,
+        version: poolRow?.version ?? 0,
+      },
+    ],
+  });
+}
+
+function missingTarget(rows: readonly Row[], target: string | undefined) {
+  if (target === undefined) return undefined;
+  if (rows.some((r) => r.key === `table/row/pool/${target}`)) return undefined;
+  return fail(codes.notFound, `pool ${target} does not exist`);
+}
+
+function budgetOf(rows: readonly Row[], pool: string): Stored<BudgetRow> {
+  const key = budgetKey(pool);
+  const row = rows.find((r) => r.key === key);
+  const decoded = row === undefined
+    ? undefined
+    : decodeRow(budgetRowSchema, row);
+  if (decoded?.ok) return decoded.val;
+  return { key, version: row?.version ?? 0, value: emptyBudget(pool) };
+}
+
+function budgetSize(row: Row | undefined): number {
+  if (row === undefined) return 0;
+  const decoded = decodeRow(tableRowSchema, row);
+  if (decoded.err || decoded.val.value.kind !== "pool") return 0;
+  return decoded.val.value.budget;
+}
+
+function complement(hosts: HostMap, live: ReadonlySet<string>) {
+  return new Set([...hosts.keys()].filter((name) => !live.has(name)));
+}
+
+async function failedHosts(
+  parts: DrainParts,
+  hosts: HostMap,
+  pool: string,
+): Promise<ReadonlySet<string>> {
+  const members = [...hosts.values()].filter((h) =>
+    h.pool === pool && h.state === "serving"
+  );
+  const reports = await Promise.all(
+    members.map(async (host) => {
+      const health = await parts.endpoints.health(host);
+      return health.ok && health.val.ok ? undefined : host.name;
+    }),
+  );
+  return new Set(reports.filter((name) => name !== undefined));
+}
--- /dev/null
+++ b/src/maintenance/ejection.ts
@@ -0,0 +1,70 @@
+/**
+ * Ejection of hosts that fail most of their work: a change of the pool's
+ * budget row, so ejections, drains, and moves count each other.
+ */
+import { Ok, type Result } from "ts-results";
+import { auditWrite } from "../audit/index.ts";
+import { codes, fail, type Failure } from "../errors/index.ts";
+import type { ChangeContext } from "../table/index.ts";
+import { type BudgetRow, checkBudget } from "./budget.ts";
+import { type DrainParts, gatherDecision } from "./drain.ts";
+
+/** Marks a host as ejected within its pool's budget. Fails as a drain does. */
+export async function ejectFromPool(
+  parts: DrainParts,
+  host: string,
+  ctx: ChangeContext,
+): Promise<Result<void, Failure>> {
+  return await changeEjected(parts, host, ctx, "host.eject");
+}
+
+/** Removes the mark of a host that has recovered. */
+export async function reinstateInPool(
+  parts: DrainParts,
+  host: string,
+  ctx: ChangeContext,
+): Promise<Result<void, Failure>> {
+  return await changeEjected(parts, host, ctx, "host.reinstate");
+}
+
+async function changeEjected(
+  parts: DrainParts,
+  host: string,
+  ctx: ChangeContext,
+  action: "host.eject" | "host.reinstate",
+): Promise<Result<void, Failure>> {
+  const decision = await gatherDecision(parts, { host });
+  if (decision.err) return decision;
+  const { budget, view, checks } = decision.val;
+  const ejects = action === "host.eject";
+  if (budget.value.ejected.includes(host) === ejects) return Ok(undefined);
+  if (ejects) {
+    const allowed = checkBudget(view, decision.val.host.value);
+    if (allowed.err) return allowed;
+  }
+  const others = budget.value.ejected.filter((name) => name !== host);
+  const after: BudgetRow = {
+    ...budget.value,
+    changes: budget.value.changes + 1,
+    ejected: ejects ? [...others, host] : others,
+  };
+  const outcome = await parts.platform.table.commit({
+    operation: ctx.operation,
+    checks,
+    writes: [
+      { key: budget.key, value: after },
+      auditWrite({
+        at: ctx.at,
+        who: ctx.who,
+        action,
+        subject: `host ${host}`,
+        before: budget.value.ejected,
+        after: after.ejected,
+        operation: ctx.operation,
+      }),
+    ],
+  });
+  if (outcome.err) return outcome;
+  if (outcome.val.kind === "committed") return Ok(undefined);
+  return fail(codes.stateConflict, `pool of host ${host} changed meanwhile`);
+}
--- /dev/null
+++ b/src/maintenance/wave.ts
@@ -0,0 +1,212 @@
+/**
+ * Maintenance waves: each host is drained, rebooted, proved healthy, and
+ * returned, within the budgets and with a canary first.
+ *
+ * A wave stops by itself when its canary fails, or when several of its hosts
+ * fail: later hosts would fail for the same cause.
+ */
+import { Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import { codes, fail, type Failure } from "../errors/index.ts";
+import type { Host, HostMap } from "../hosts/index.ts";
+
+/** Prefix of wave rows. */
+export const wavePrefix = "wave/";
+
+const waveStepSchema = v.object({
+  host: v.string(),
+  step: v.picklist(["waiting", "draining", "rebooting", "done", "failed"]),
+  /** Wall-clock time in ms at which the step began. */
+  since: v.number(),
+  /** Boot identifier before the reboot. */
+  boot: v.optional(v.string()),
+});
+
+export const waveSchema = v.object({
+  id: v.string(),
+  state: v.picklist([
+    "planned",
+    "canary",
+    /** The canary has succeeded; an operator has to approve the rest. */
+    "awaiting-approval",
+    "running",
+    "paused",
+    "stopped",
+    "done",
+  ]),
+  hosts: v.array(waveStepSchema),
+  /** Hosts out of service at once, over all pools. */
+  parallel: v.number(),
+  reason: v.optional(v.string()),
+  /** State to return to after a pause. */
+  resumeTo: v.optional(v.picklist(["canary", "running"])),
+});
+
+export type Wave = v.InferOutput<typeof waveSchema>;
+export type WaveStep = v.InferOutput<typeof waveStepSchema>;
+
+/** Commands of an operator. */
+export type WaveCommand = "start" | "approve" | "pause" | "resume" | "stop";
+
+/** Failed hosts after which a wave stops. */
+const maxFailedHosts = 2;
+
+/** The key of a wave's row. */
+export function waveKey(id: string): string {
+  return wavePrefix + id;
+}
+
+/**
+ * Plans a wave over hosts: consecutive hosts lie in different racks and
+ * availability zones as far as possible, so hosts that are out together
+ * rarely share a failure domain with each other.
+ */
+export function planWave(
+  id: string,
+  hosts: readonly Host[],
+  parallel: number,
+  now: number,
+): Wave {
+  const racks = new Map<string, Host[]>();
+  for (const host of [...hosts].sort(byName)) {
+    const rack = `${host.zone}/${host.rack}`;
+    racks.set(rack, [...(racks.get(rack) ?? []), host]);
+  }
+  const order: WaveStep[] = [];
+  const queues = [...racks.values()];
+  while (order.length < hosts.length) {
+    for (const queue of queues) {
+      const host = queue.shift();
+      if (host === undefined) continue;
+      order.push({ host: host.name, step: "waiting", since: now });
+    }
+  }
+  return { id, state: "planned", hosts: order, parallel };
+}
+
+function byName(a: Host, b: Host): number {
+  return a.name.localeCompare(b.name);
+}
+
+const transitions: Readonly<
+  Record<WaveCommand, readonly Wave["state"][]>
+> = {
+  start: ["planned"],
+  approve: ["awaiting-approval"],
+  pause: ["canary", "running"],
+  resume: ["paused", "stopped"],
+  stop: ["planned", "canary", "awaiting-approval", "running", "paused"],
+};
+
+/** Applies an operator's command. Fails with `stateConflict`. */
+export function commandWave(
+  wave: Wave,
+  command: WaveCommand,
+): Result<Wave, Failure> {
+  if (!transitions[command].includes(wave.state)) {
+    return fail(
+      codes.stateConflict,
+      `wave ${wave.id} is ${wave.state} and does not ${command}`,
+    );
+  }
+  switch (command) {
+    case "start":
+      return Ok({ ...wave, state: "canary" });
+    case "approve":
+      return Ok({ ...wave, state: "running" });
+    case "pause": {
+      const resumeTo = wave.state === "canary" ? "canary" : "running";
+      return Ok({ ...wave, state: "paused", resumeTo });
+    }
+    case "resume":
+      return Ok({
+        ...wave,
+        state: wave.resumeTo ?? "running",
+        reason: undefined,
+        hosts: wave.hosts.map(retryFailed),
+      });
+    case "stop":
+      return Ok({ ...wave, state: "stopped", reason: "stopped by operator" });
+  }
+}
+
+function retryFailed(step: WaveStep): WaveStep {
+  return step.step === "failed" ? { ...step, step: "waiting" } : step;
+}
+
+/** What a wave asks the controller to do. */
+export type WaveAction =
+  | { readonly kind: "drain"; readonly host: string }
+  | { readonly kind: "reboot"; readonly host: string }
+  /** Learn whether the host has booted anew and is healthy. */
+  | { readonly kind: "check"; readonly host: string; readonly boot: string };
+
+/** The next actions of a wave, by the state of its hosts. */
+export function waveActions(wave: Wave, hosts: HostMap): readonly WaveAction[] {
+  const actions: WaveAction[] = [];
+  let busy = 0;
+  for (const step of wave.hosts) {
+    const host = hosts.get(step.host);
+    if (step.step === "draining") {
+      busy++;
+      if (host?.state === "drained" && host.cause === wave.id) {
+        actions.push({ kind: "reboot", host: step.host });
+      }
+    } else if (step.step === "rebooting") {
+      busy++;
+      actions.push({ kind: "check", host: step.host, boot: step.boot ?? "" });
+    }
+  }
+  const limit = wave.state === "canary" ? 1 : wave.parallel;
+  if (wave.state !== "canary" && wave.state !== "running") return actions;
+  const canaryTried = wave.state === "canary" &&
+    wave.hosts.some((s) => s.step !== "waiting");
+  if (canaryTried) return actions;
+  for (const step of wave.hosts) {
+    if (step.step !== "waiting") continue;
+    if (busy >= limit) break;
+    busy++;
+    actions.push({ kind: "drain", host: step.host });
+  }
+  return actions;
+}
+
+/** Sets the step of one host. */
+export function setStep(
+  wave: Wave,
+  host: string,
+  step: WaveStep["step"],
+  now: number,
+  boot?: string,
+): Wave {
+  const hosts = wave.hosts.map((s) =>
+    s.host === host ? { ...s, step, since: now, boot: boot ?? s.boot } : s
+  );
+  return { ...wave, hosts };
+}
+
+/** Ends, stops, or halts a wave according to its hosts. */
+export function reviewWave(wave: Wave): Wave {
+  const failed = wave.hosts.filter((s) => s.step === "failed");
+  const names = failed.map((s) => s.host).join(", ");
+  if (wave.state === "canary") {
+    if (failed.length > 0) {
+      const reason = `canary ${names} did not come back healthy`;
+      return { ...wave, state: "stopped", reason };
+    }
+    const done = wave.hosts.some((s) => s.step === "done");
+    return done ? { ...wave, state: afterCanary(wave) } : wave;
+  }
+  if (wave.state !== "running") return wave;
+  if (failed.length >= maxFailedHosts) {
+    const reason = `${names} did not come back healthy`;
+    return { ...wave, state: "stopped", reason };
+  }
+  const open = wave.hosts.some((s) => s.step !== "done" && s.step !== "failed");
+  return open ? wave : { ...wave, state: "done" };
+}
+
+function afterCanary(wave: Wave): Wave["state"] {
+  const open = wave.hosts.some((s) => s.step === "waiting");
+  return open ? "awaiting-approval" : "done";
+}
--- /dev/null
+++ b/src/operator/client.ts
@@ -0,0 +1,83 @@
+/** Client of the operator API. */
+import { Err, Ok, type Result } from "ts-results";
+import { request } from "undici";
+import * as v from "valibot";
+import {
+  codes,
+  describeError,
+  fail,
+  type Failure,
+  resultCode,
+} from "../errors/index.ts";
+import { failureReplySchema } from "./api_types.ts";
+
+const timeoutMs = 90_000;
+
+/** Where and as whom to call. */
+export interface OperatorTarget {
+  /** Operator address of any entry, `ip:port`. */
+  readonly address: string;
+  readonly token: string;
+  /** Name for the audit trail. */
+  readonly who: string;
+}
+
+/** Calls the operator API of one entry. */
+export class OperatorClient {
+  constructor(private readonly target: OperatorTarget) {}
+
+  /** Reads. Fails with the entry's failure or with `entryUnreachable`. */
+  async get<T extends v.GenericSchema>(
+    path: string,
+    schema: T,
+  ): Promise<Result<v.InferOutput<T>, Failure>> {
+    return await this.#call("GET", path, schema);
+  }
+
+  /** Changes. Fails with the entry's failure or with `entryUnreachable`. */
+  async post<T extends v.GenericSchema>(
+    path: string,
+    schema: T,
+    body?: unknown,
+  ): Promise<Result<v.InferOutput<T>, Failure>> {
+    return await this.#call("POST", path, schema, body);
+  }
+
+  async #call<T extends v.GenericSchema>(
+    method: "GET" | "POST",
+    path: string,
+    schema: T,
+    body?: unknown,
+  ): Promise<Result<v.InferOutput<T>, Failure>> {
+    const { address, token, who } = this.target;
+    let json: unknown;
+    let status: number;
+    try {
+      const res = await request(`http://${address}${path}`, {
+        method,
+        headers: {
+          authorization: `Bearer ${token}`,
+          "briartide-operator": who,
+          "content-type": "application/json",
+        },
+        body: body === undefined ? undefined : JSON.stringify(body),
+        signal: AbortSignal.timeout(timeoutMs),
+      });
+      status = res.statusCode;
+      json = await res.body.json();
+    } catch (err) {
+      return fail(codes.entryUnreachable, `${address}: ${describeError(err)}`);
+    }
+    if (status === codes.ok.http) {
+      const parsed = v.safeParse(schema, json);
+      if (parsed.success) return Ok(parsed.output);
+      return fail(codes.internal, `${address} gave a malformed answer`);
+    }
+    const failure = v.safeParse(failureReplySchema, json);
+    if (!failure.success) {
+      return fail(codes.internal, `${address} answered ${status}`);
+    }
+    const { code, message, issues, conflicts } = failure.output;
+    return new Err({ code: resultCode(code), message, issues, conflicts });
+  }
+}
--- /dev/null
+++ b/src/peers/frame.ts
@@ -0,0 +1,86 @@
+/**
+ * Frames on a peer link: a length of 4 bytes, big-endian, and one CBOR item.
+ */
+import { Buffer } from "node:buffer";
+import { Encoder } from "cbor-x";
+import { Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import { codes, describeError, fail, type Failure } from "../errors/index.ts";
+import { type Message, messageSchema } from "./message.ts";
+
+const lengthBytes = 4;
+/** Largest frame in bytes, without its length. */
+export const maxFrameBytes = 2 * 1024 * 1024;
+
+const encoder = new Encoder({
+  useRecords: false,
+  mapsAsObjects: true,
+  tagUint8Array: false,
+});
+
+/** Encodes one message as a frame. */
+export function encodeFrame(message: Message): Buffer {
+  const body = encoder.encode(message);
+  const frame = Buffer.allocUnsafe(lengthBytes + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, lengthBytes);
+  return frame;
+}
+
+/** Decodes the body of a frame. Fails with `frameInvalid`. */
+export function decodeFrame(body: Uint8Array): Result<Message, Failure> {
+  let item: unknown;
+  try {
+    item = encoder.decode(body);
+  } catch (err) {
+    return fail(codes.frameInvalid, describeError(err));
+  }
+  const parsed = v.safeParse(messageSchema, item);
+  if (parsed.success) return Ok(parsed.output);
+  return fail(codes.frameInvalid, parsed.issues[0].message);
+}
+
+/** Cuts a byte stream into frame bodies. */
+export class FrameReader {
+  #chunks: Buffer[] = [];
+  #size = 0;
+
+  /**
+   * Adds received bytes and returns the bodies of the complete frames. Fails
+   * with `frameInvalid` when a frame exceeds the size limit; the link is
+   * unusable then.
+   */
+  push(chunk: Buffer): Result<readonly Buffer[], Failure> {
+    this.#chunks.push(chunk);
+    this.#size += chunk.length;
+    const bodies: Buffer[] = [];
+    while (this.#size >= lengthBytes) {
+      const length = this.#peekLength();
+      if (length > maxFrameBytes) {
+        return fail(codes.frameInvalid, `frame of ${length} bytes`);
+      }
+      if (this.#size < lengthBytes + length) break;
+      bodies.push(this.#take(lengthBytes + length).subarray(lengthBytes));
+    }
+    return Ok(bodies);
+  }
+
+  #peekLength(): number {
+    if (this.#chunks[0].length < lengthBytes) this.#join();
+    return this.#chunks[0].readUInt32BE(0);
+  }
+
+  #take(count: number): Buffer {
+    if (this.#chunks[0].length < count) this.#join();
+    const first = this.#chunks[0];
+    const rest = first.subarray(count);
+    if (rest.length === 0) this.#chunks.shift();
+    else this.#chunks[0] = rest;
+    this.#size -= count;
+    return first.subarray(0, count);
+  }
+
+  #join(): void {
+    this.#chunks = [Buffer.concat(this.#chunks)];
+  }
+}
--- /dev/null
+++ b/src/peers/index.ts
@@ -0,0 +1,24 @@
+/** Links between entries: messages, frames, and the mesh. */
+export {
+  type AcquireMessage,
+  type Heartbeat,
+  type Hello,
+  type Message,
+  type MessageOf,
+  messageSchema,
+  type RunMessage,
+} from "./message.ts";
+export {
+  decodeFrame,
+  encodeFrame,
+  FrameReader,
+  maxFrameBytes,
+} from "./frame.ts";
+export { type LinkTraffic } from "./link.ts";
+export {
+  type Member,
+  Mesh,
+  type MeshEvents,
+  type MeshOptions,
+  splitAddress,
+} from "./mesh.ts";
--- /dev/null
+++ b/src/peers/link.ts
@@ -0,0 +1,115 @@
+/**
+ * One TCP connection to another entry, with its heartbeats.
+ *
+ * A link counts as silent when no frame has arrived for the silence limit; it
+ * is closed then, and the mesh opens a new one.
+ */
+import type { Buffer } from "node:buffer";
+import type { Socket } from "node:net";
+import type { Failure } from "../errors/index.ts";
+import type { Clock } from "../clock/index.ts";
+import { decodeFrame, encodeFrame, FrameReader } from "./frame.ts";
+import type { Hello, Message } from "./message.ts";
+
+/** What a link reports to the mesh. */
+export interface LinkEvents {
+  opened(link: Link, hello: Hello): void;
+  received(link: Link, message: Message): void;
+  /** Called once, also when the link never opened. */
+  closed(link: Link, reason: string): void;
+  /** A frame was refused; the link closes after it. */
+  badFrame(link: Link, err: Failure): void;
+}
+
+/** Traffic counters of all links of a process. */
+export interface LinkTraffic {
+  framesOut: number;
+  bytesOut: number;
+  framesIn: number;
+  bytesIn: number;
+}
+
+/** A framed, schema-checked connection to one peer. */
+export class Link {
+  #reader = new FrameReader();
+  #hello: Hello | undefined;
+  #lastReceived: number;
+  #closed = false;
+
+  constructor(
+    private readonly socket: Socket,
+    private readonly clock: Clock,
+    private readonly events: LinkEvents,
+    private readonly traffic: LinkTraffic,
+  ) {
+    this.#lastReceived = clock.now();
+    socket.setNoDelay(true);
+    socket.on("data", (chunk: Buffer) => this.#receive(chunk));
+    socket.on("error", (err) => this.close(err.message));
+    socket.on("close", () => this.close("closed by peer"));
+  }
+
+  /** The peer's greeting; undefined until it has arrived. */
+  get peer(): Hello | undefined {
+    return this.#hello;
+  }
+
+  get isClosed(): boolean {
+    return this.#closed;
+  }
+
+  /** Bytes that the peer has not taken yet. */
+  get backlog(): number {
+    return this.socket.writableLength;
+  }
+
+  /** Sends a message; messages on a closed link are dropped. */
+  send(message: Message): void {
+    if (this.#closed) return;
+    const frame = encodeFrame(message);
+    this.traffic.framesOut++;
+    this.traffic.bytesOut += frame.length;
+    this.socket.write(frame);
+  }
+
+  /** Time in ms since the last frame arrived. */
+  silentFor(): number {
+    return this.clock.now() - this.#lastReceived;
+  }
+
+  /** Closes the link. */
+  close(reason: string): void {
+    if (this.#closed) return;
+    this.#closed = true;
+    this.socket.destroy();
+    this.events.closed(this, reason);
+  }
+
+  #receive(chunk: Buffer): void {
+    this.#lastReceived = this.clock.now();
+    this.traffic.bytesIn += chunk.length;
+    const bodies = this.#reader.push(chunk);
+    if (bodies.err) return this.#refuse(bodies.val);
+    for (const body of bodies.val) {
+      if (this.#closed) return;
+      const message = decodeFrame(body);
+      if (message.err) return this.#refuse(message.val);
+      this.traffic.framesIn++;
+      this.#handle(message.val);
+    }
+  }
+
+  #handle(message: Message): void {
+    if (message.kind === "hello") {
+      this.#hello = message;
+      this.events.opened(this, message);
+    } else if (this.#hello !== undefined) {
+      this.events.received(this, message);
+    }
+  }
+
+  #refuse(err: Failure): void {
+    this.events.badFrame(this, err);
+    this.close(err.message);
+  }
+}
--- /dev/null
+++ b/src/pipeline/retry_budget.ts
@@ -0,0 +1,30 @@
+/**
+ * Retry budget: a token bucket that successes fill, so that retries stay a
+ * bounded share of the successful work and cannot amplify an overload.
+ */
+
+const earnedPerSuccess = 0.1;
+const capacity = 50;
+
+/** An immutable retry budget. */
+export class RetryBudget {
+  static readonly full = new RetryBudget(capacity);
+
+  private constructor(readonly tokens: number) {}
+
+  /** The budget after a success. */
+  earn(): RetryBudget {
+    if (this.tokens === capacity) return this;
+    return new RetryBudget(Math.min(capacity, this.tokens + earnedPerSuccess));
+  }
+
+  /** Whether a retry may be made. */
+  get allows(): boolean {
+    return this.tokens >= 1;
+  }
+
+  /** The budget after a retry. */
+  spend(): RetryBudget {
+    return new RetryBudget(Math.max(0, this.tokens - 1));
+  }
+}
--- /dev/null
+++ b/src/pipeline/slot_client.ts
@@ -0,0 +1,294 @@
+/**
+ * Slots of hosts that another entry owns, over the peer links: the origin's
+ * side of a forwarded request.
+ */
+import { PassThrough } from "node:stream";
+import { Err, Ok, type Result } from "ts-results";
+import { codes, type Failure, resultCode } from "../errors/index.ts";
+import type { Clock, IdSource } from "../clock/index.ts";
+import type { Message, MessageOf } from "../peers/index.ts";
+import type { EndpointRequest, Outcome } from "./request.ts";
+import type { PoolLoad } from "./scheduler.ts";
+
+/** Time that an owner is given beyond a deadline or a run time, in ms. */
+const ownerGraceMs = 500;
+
+/** Sends messages to connected entries. */
+export interface PeerSender {
+  /** False when the entry is not connected. */
+  send(entry: string, message: Message): boolean;
+}
+
+/** What a remote ticket asks for. */
+export interface RemoteTicket {
+  readonly class: string;
+  readonly startInMs?: number;
+  readonly avoid: readonly string[];
+}
+
+/** A slot granted by another entry. */
+export interface RemoteGrant {
+  readonly id: string;
+  readonly entry: string;
+  readonly host: string;
+  readonly load: PoolLoad;
+}
+
+/** A ticket that waits at another entry. */
+export interface WaitingTicket {
+  readonly result: Promise<Result<RemoteGrant, Failure>>;
+  /** Withdraws the ticket; the result becomes `cancelled`. */
+  cancel(): void;
+}
+
+interface Waiting {
+  readonly entry: string;
+  settle(result: Result<RemoteGrant, Failure>): void;
+}
+
+interface Running {
+  readonly entry: string;
+  settle(outcome: Outcome): void;
+  body?: PassThrough;
+  received: number;
+}
+
+function lost(entry: string): Failure {
+  return {
+    code: codes.peerLost,
+    message: `link to ${entry} broke during the run`,
+  };
+}
+
+/** Acquires and uses slots of other entries. */
+export class SlotClient {
+  #waiting = new Map<string, Waiting>();
+  #running = new Map<string, Running>();
+  /** Frames that belonged to no open ticket or run. */
+  lateFrames = 0;
+
+  constructor(
+    private readonly peers: PeerSender,
+    private readonly ids: IdSource,
+    private readonly clock: Clock,
+  ) {}
+
+  /**
+   * Asks an entry for a slot. The result fails with the owner's refusal, or
+   * with `noHost` when the link breaks: the request has not run then.
+   */
+  acquire(entry: string, ticket: RemoteTicket): WaitingTicket {
+    const id = this.ids.next();
+    let cancelTimer = () => {};
+    const result = new Promise<Result<RemoteGrant, Failure>>((resolve) => {
+      this.#waiting.set(id, {
+        entry,
+        settle: (outcome) => {
+          this.#waiting.delete(id);
+          cancelTimer();
+          resolve(outcome);
+        },
+      });
+    });
+    const sent = this.peers.send(entry, {
+      kind: "acquire",
+      id,
+      class: ticket.class,
+      startInMs: ticket.startInMs,
+      avoid: [...ticket.avoid],
+    });
+    if (!sent) this.#refuse(id, codes.noHost.code);
+    else if (ticket.startInMs !== undefined) {
+      const limit = ticket.startInMs + ownerGraceMs;
+      cancelTimer = this.clock.after(
+        limit,
+        () => this.#withdraw(id, codes.deadline.code),
+      );
+    }
+    return {
+      result,
+      cancel: () => this.#withdraw(id, codes.cancelled.code),
+    };
+  }
+
+  /** Gives an unused slot back. */
+  giveBack(grant: RemoteGrant): void {
+    this.peers.send(grant.entry, { kind: "cancel", id: grant.id });
+  }
+
+  /** Sends a request on a granted slot. */
+  async send(
+    grant: RemoteGrant,
+    req: EndpointRequest,
+    signal: AbortSignal,
+  ): Promise<Outcome> {
+    const { id, entry } = grant;
+    if (signal.aborted) {
+      this.giveBack(grant);
+      return notSent(codes.cancelled, entry);
+    }
+    let settle: (outcome: Outcome) => void = () => {};
+    const outcome = new Promise<Outcome>((resolve) => settle = resolve);
+    this.#running.set(id, { entry, settle, received: 0 });
+    const sent = this.peers.send(entry, {
+      kind: "run",
+      id,
+      attempt: req.attempt,
+      method: req.method,
+      path: req.path,
+      headers: { ...req.headers },
+      body: req.body,
+      runMs: req.runMs,
+    });
+    if (!sent) {
+      this.#running.delete(id);
+      return notSent(codes.connectFailed, entry);
+    }
+    const abort = () => this.peers.send(entry, { kind: "cancel", id });
+    signal.addEventListener("abort", abort);
+    const stopTimer = this.clock.after(
+      req.runMs + ownerGraceMs,
+      () => this.#timeOut(id),
+    );
+    const result = await outcome;
+    stopTimer();
+    signal.removeEventListener("abort", abort);
+    return result;
+  }
+
+  /** Handles a message of an owner; false when it is of another kind. */
+  handle(entry: string, message: Message): boolean {
+    switch (message.kind) {
+      case "granted":
+        this.#granted(entry, message);
+        return true;
+      case "refused":
+        this.#refuse(message.id, message.code);
+        return true;
+      case "answer":
+        this.#answer(message);
+        return true;
+      case "chunk":
+        this.#chunk(message);
+        return true;
+      case "end":
+        this.#end(message);
+        return true;
+      case "failed":
+        this.#failed(message);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  /** Ends every ticket and run at an entry whose link broke. */
+  peerLeft(entry: string): void {
+    for (const [id, waiting] of this.#waiting) {
+      if (waiting.entry === entry) this.#refuse(id, codes.noHost.code);
+    }
+    for (const [id, run] of this.#running) {
+      if (run.entry !== entry) continue;
+      this.#running.delete(id);
+      run.settle({ kind: "failed", failure: lost(entry) });
+      run.body?.destroy(new Error(lost(entry).message));
+    }
+  }
+
+  #granted(entry: string, message: MessageOf<"granted">): void {
+    const waiting = this.#waiting.get(message.id);
+    if (waiting === undefined || waiting.entry !== entry) {
+      this.lateFrames++;
+      this.peers.send(entry, { kind: "cancel", id: message.id });
+      return;
+    }
+    const { id, host, load } = message;
+    waiting.settle(Ok({ id, entry, host, load }));
+  }
+
+  #refuse(id: string, number: number): void {
+    const waiting = this.#waiting.get(id);
+    if (waiting === undefined) {
+      this.lateFrames++;
+      return;
+    }
+    const code = resultCode(number);
+    waiting.settle(
+      new Err({ code, message: `${waiting.entry}: ${code.meaning}` }),
+    );
+  }
+
+  #withdraw(id: string, code: number): void {
+    const waiting = this.#waiting.get(id);
+    if (waiting === undefined) return;
+    this.peers.send(waiting.entry, { kind: "cancel", id });
+    this.#refuse(id, code);
+  }
+
+  #answer(message: MessageOf<"answer">): void {
+    const run = this.#find(message.id);
+    if (run === undefined) return;
+    const { status, headers } = message;
+    if (message.body !== undefined) {
+      this.#running.delete(message.id);
+      run.settle({ kind: "answer", status, headers, body: message.body });
+      return;
+    }
+    run.body = new PassThrough();
+    run.body.on("error", () => {});
+    run.settle({ kind: "answer", status, headers, body: run.body });
+  }
+
+  #chunk(message: MessageOf<"chunk">): void {
+    const run = this.#find(message.id);
+    if (run === undefined) return;
+    run.received += message.data.length;
+    run.body?.write(message.data);
+  }
+
+  #end(message: MessageOf<"end">): void {
+    const run = this.#find(message.id);
+    if (run === undefined) return;
+    this.#running.delete(message.id);
+    if (message.complete && message.bytes === run.received) run.body?.end();
+    else run.body?.destroy(new Error("the endpoint's answer was cut short"));
+  }
+
+  #failed(message: MessageOf<"failed">): void {
+    const run = this.#find(message.id);
+    if (run === undefined) return;
+    this.#running.delete(message.id);
+    const code = resultCode(message.code);
+    run.settle({
+      kind: "failed",
+      failure: { code, message: message.message },
+    });
+  }
+
+  #timeOut(id: string): void {
+    const run = this.#running.get(id);
+    if (run === undefined || run.body !== undefined) return;
+    this.#running.delete(id);
+    this.peers.send(run.entry, { kind: "cancel", id });
+    run.settle({
+      kind: "failed",
+      failure: {
+        code: codes.runTimeout,
+        message: `no answer over ${run.entry}`,
+      },
+    });
+  }
+
+  #find(id: string): Running | undefined {
+    const run = this.#running.get(id);
+    if (run === undefined) this.lateFrames++;
+    return run;
+  }
+}
+
+function notSent(code: Failure["code"], entry: string): Outcome {
+  return {
+    kind: "failed",
+    failure: { code, message: `not sent to ${entry}` },
+  };
+}
--- /dev/null
+++ b/src/pipeline/slot_server.ts
@@ -0,0 +1,208 @@
+/**
+ * Serving other entries' requests on hosts that this entry owns: the owner's
+ * side of a forwarded request.
+ */
+import { codes } from "../errors/index.ts";
+import type { Clock } from "../clock/index.ts";
+import { isStream } from "../endpoint/index.ts";
+import type { Host } from "../hosts/index.ts";
+import type { AcquireMessage, Message, RunMessage } from "../peers/index.ts";
+import type { Table } from "../table/index.ts";
+import type { LocalSlots } from "./local_slots.ts";
+import type { Answer } from "./request.ts";
+import type { Scheduler } from "./scheduler.ts";
+import type { PeerSender } from "./slot_client.ts";
+
+/** A granted slot is taken back when no request follows within this time. */
+const grantTimeoutMs = 1_000;
+const chunkBytes = 65_536;
+/** An origin that leaves this much unread is slowed down. */
+const maxBacklogBytes = 1_048_576;
+const backlogPauseMs = 10;
+
+/** The peer links as the owner uses them. */
+export interface PeerLinks extends PeerSender {
+  /** Bytes that wait on the link to an entry. */
+  backlog(entry: string): number;
+}
+
+interface Grant {
+  readonly entry: string;
+  readonly host: Host;
+  /** Stops the timer that takes the slot back. */
+  readonly stopTimer: () => void;
+}
+
+interface Run {
+  readonly entry: string;
+  readonly abort: AbortController;
+}
+
+/** Grants slots to other entries and runs their requests. */
+export class SlotServer {
+  #grants = new Map<string, Grant>();
+  #runs = new Map<string, Run>();
+  #waiting = new Map<string, string>();
+
+  constructor(
+    private readonly scheduler: Scheduler,
+    private readonly local: LocalSlots,
+    private readonly peers: PeerLinks,
+    private readonly table: () => Table,
+    private readonly clock: Clock,
+  ) {}
+
+  /** Handles a message of an origin; false when it is of another kind. */
+  handle(entry: string, message: Message): boolean {
+    switch (message.kind) {
+      case "acquire":
+        this.#acquire(entry, message);
+        return true;
+      case "run":
+        this.#run(entry, message);
+        return true;
+      case "cancel":
+        this.#cancel(entry, message.id);
+        return true;
+      default:
+        return false;
+    }
+  }
+
+  /** Drops the tickets and unused grants of an entry whose link broke. */
+  peerLeft(entry: string): void {
+    for (const [id, origin] of this.#waiting) {
+      if (origin === entry) this.#withdraw(id);
+    }
+    for (const [id, grant] of this.#grants) {
+      if (grant.entry === entry) this.#takeBack(id);
+    }
+  }
+
+  #acquire(entry: string, message: AcquireMessage): void {
+    const row = this.table().class(message.class);
+    if (row === undefined) {
+      return this.#refuse(entry, message.id, codes.unknownClass.code);
+    }
+    if (this.scheduler.load(row.pool).slots === 0) {
+      return this.#refuse(entry, message.id, codes.noHost.code);
+    }
+    const startBy = message.startInMs === undefined
+      ? undefined
+      : this.clock.now() + message.startInMs;
+    this.#waiting.set(message.id, entry);
+    this.scheduler.acquire({
+      id: message.id,
+      class: row,
+      startBy,
+      avoid: message.avoid,
+      granted: (host) => this.#granted(entry, message.id, host),
+      refused: (code) => {
+        this.#waiting.delete(message.id);
+        this.#refuse(entry, message.id, code.code);
+      },
+    });
+  }
+
+  #granted(entry: string, id: string, host: Host): void {
+    this.#waiting.delete(id);
+    const stopTimer = this.clock.after(
+      grantTimeoutMs,
+      () => this.#takeBack(id),
+    );
+    this.#grants.set(id, { entry, host, stopTimer });
+    const load = this.scheduler.load(host.pool);
+    const message = { kind: "granted", id, host: host.name, load } as const;
+    if (!this.peers.send(entry, message)) this.#takeBack(id);
+  }
+
+  #refuse(entry: string, id: string, code: number): void {
+    this.peers.send(entry, { kind: "refused", id, code });
+  }
+
+  #withdraw(id: string): void {
+    this.#waiting.delete(id);
+    this.scheduler.cancel(id);
+  }
+
+  #takeBack(id: string): void {
+    const grant = this.#grants.get(id);
+    if (grant === undefined) return;
+    this.#grants.delete(id);
+    grant.stopTimer();
+    this.local.giveBack(grant.host);
+  }
+
+  #cancel(entry: string, id: string): void {
+    if (this.#waiting.get(id) === entry) return this.#withdraw(id);
+    if (this.#grants.get(id)?.entry === entry) return this.#takeBack(id);
+    const run = this.#runs.get(id);
+    if (run?.entry === entry) run.abort.abort();
+  }
+
+  async #run(entry: string, message: RunMessage): Promise<void> {
+    const { id } = message;
+    const grant = this.#grants.get(id);
+    if (grant === undefined || grant.entry !== entry) {
+      const { code, meaning } = codes.connectFailed;
+      const text = `the grant lapsed: ${meaning}`;
+      this.peers.send(entry, { kind: "failed", id, code, message: text });
+      return;
+    }
+    this.#grants.delete(id);
+    grant.stopTimer();
+    const abort = new AbortController();
+    this.#runs.set(id, { entry, abort });
+    try {
+      const outcome = await this.local.send(grant.host, message, abort.signal);
+      if (outcome.kind === "answer") {
+        await this.#answer(entry, id, outcome);
+      } else {
+        const { code, message: text } = outcome.failure;
+        this.peers.send(entry, {
+          kind: "failed",
+          id,
+          code: code.code,
+          message: text,
+        });
+      }
+    } finally {
+      this.#runs.delete(id);
+    }
+  }
+
+  async #answer(entry: string, id: string, answer: Answer): Promise<void> {
+    const { status, headers, body } = answer;
+    if (!isStream(body)) {
+      this.peers.send(entry, { kind: "answer", id, status, headers, body });
+      return;
+    }
+    this.peers.send(entry, { kind: "answer", id, status, headers });
+    let bytes = 0;
+    let complete = false;
+    try {
+      for await (const piece of body) {
+        bytes += (piece as Uint8Array).length;
+        await this.#sendChunks(entry, id, piece as Uint8Array);
+      }
+      complete = true;
+    } catch {
+      complete = false;
+    }
+    this.peers.send(entry, { kind: "end", id, bytes, complete });
+  }
+
+  async #sendChunks(
+    entry: string,
+    id: string,
+    piece: Uint8Array,
+  ): Promise<void> {
+    for (let at = 0; at < piece.length; at += chunkBytes) {
+      const data = piece.subarray(at, at + chunkBytes);
+      this.peers.send(entry, { kind: "chunk", id, data });
+    }
+    while (this.peers.backlog(entry) > maxBacklogBytes) {
+      await new Promise<void>((r) => this.clock.after(backlogPauseMs, r));
+    }
+  }
+}
--- /dev/null
+++ b/src/platform/http_platform.ts
@@ -0,0 +1,251 @@
+/**
+ * HTTP client of the platform's services.
+ *
+ * Transactions that are submitted together travel in one call. A call without
+ * an answer is repeated with the same operation ids until the time limit, so
+ * that a lost answer is resolved by the platform's own record.
+ */
+import { Buffer } from "node:buffer";
+import { setTimeout as sleep } from "node:timers/promises";
+import { Ok, type Result } from "ts-results";
+import { Pool } from "undici";
+import * as v from "valibot";
+import { codes, describeError, fail, type Failure } from "../errors/index.ts";
+import {
+  type CommitOutcome,
+  commitOutcomeSchema,
+  type ListedHost,
+  listedHostSchema,
+  type ObjectStore,
+  type Platform,
+  type ReadQuery,
+  type Row,
+  rowSchema,
+  type TableService,
+  type Transaction,
+} from "./platform.ts";
+
+const maxBatch = 64;
+const retryPauseMs = 50;
+const connections = 8;
+const rowsSchema = v.object({ rows: v.array(rowSchema) });
+const outcomesSchema = v.object({ outcomes: v.array(commitOutcomeSchema) });
+const hostsSchema = v.object({ hosts: v.array(listedHostSchema) });
+
+/** Options of the client. */
+export interface HttpPlatformOptions {
+  /** Base URL of the services. */
+  readonly url: string;
+  /** Availability zone of this process, sent with each call. */
+  readonly zone: string;
+  /** Time limit of one call in ms. */
+  readonly callTimeoutMs: number;
+  /** Time limit of a transaction with its repeats in ms. */
+  readonly commitTimeoutMs: number;
+}
+
+/** Counters of the calls made, for metrics and measurements. */
+export interface PlatformUse {
+  readCalls: number;
+  commitCalls: number;
+  transactions: number;
+}
+
+interface PendingCommit {
+  readonly tx: Transaction;
+  readonly resolve: (outcome: Result<CommitOutcome, Failure>) => void;
+}
+
+interface Answer {
+  readonly status: number;
+  readonly bytes: Uint8Array;
+}
+
+/** `Platform` over HTTP and JSON. */
+export class HttpPlatform implements Platform {
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly use: PlatformUse = {
+    readCalls: 0,
+    commitCalls: 0,
+    transactions: 0,
+  };
+  #pool: Pool;
+  #pending: PendingCommit[] = [];
+  #scheduled = false;
+
+  constructor(private readonly options: HttpPlatformOptions) {
+    this.#pool = this.#open();
+    this.table = {
+      read: (query) => this.#read(query),
+      commit: (tx) => this.#enqueue(tx),
+    };
+    this.objects = {
+      put: (name, bytes) => this.#put(name, bytes),
+      get: (name) => this.#get(name),
+    };
+  }
+
+  async listHosts(): Promise<Result<readonly ListedHost[], Failure>> {
+    const answer = await this.#json("GET", "/v1/hosts", undefined, hostsSchema);
+    return answer.map((a) => a.hosts);
+  }
+
+  async reboot(
+    host: string,
+    operation: string,
+  ): Promise<Result<void, Failure>> {
+    const body = { host, action: "reboot", operation };
+    const answer = await this.#json("POST", "/v1/tasks", body, v.object({}));
+    return answer.map(() => undefined);
+  }
+
+  /** Closes the connections. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  #open(): Pool {
+    return new Pool(this.options.url, {
+      connections,
+      pipelining: 1,
+      connectTimeout: this.options.callTimeoutMs,
+    });
+  }
+
+  async #read(query: ReadQuery): Promise<Result<readonly Row[], Failure>> {
+    this.use.readCalls++;
+    const answer = await this.#json(
+      "POST",
+      "/v1/table/read",
+      query,
+      rowsSchema,
+    );
+    return answer.map((a) => a.rows as readonly Row[]);
+  }
+
+  #enqueue(tx: Transaction): Promise<Result<CommitOutcome, Failure>> {
+    return new Promise((resolve) => {
+      this.#pending.push({ tx, resolve });
+      if (this.#scheduled) return;
+      this.#scheduled = true;
+      setTimeout(() => this.#flush(), 1);
+    });
+  }
+
+  #flush(): void {
+    this.#scheduled = false;
+    while (this.#pending.length > 0) {
+      const batch = this.#pending.splice(0, maxBatch);
+      this.#commitBatch(batch);
+    }
+  }
+
+  async #commitBatch(batch: readonly PendingCommit[]): Promise<void> {
+    const outcome = await this.#sendBatch(batch.map((p) => p.tx));
+    batch.forEach((p, i) => p.resolve(outcome.map((list) => list[i])));
+  }
+
+  async #sendBatch(
+    transactions: readonly Transaction[],
+  ): Promise<Result<readonly CommitOutcome[], Failure>> {
+    const giveUpAt = performance.now() + this.options.commitTimeoutMs;
+    let mayHaveApplied = false;
+    this.use.transactions += transactions.length;
+    for (;;) {
+      this.use.commitCalls++;
+      const body = { transactions };
+      const answer = await this.#json(
+        "POST",
+        "/v1/table/commit",
+        body,
+        outcomesSchema,
+      );
+      if (answer.ok) return Ok(answer.val.outcomes);
+      if (answer.val.code === codes.commitRefused) return answer;
+      if (answer.val.code !== codes.platformDown) mayHaveApplied = true;
+      if (performance.now() + retryPauseMs > giveUpAt) {
+        return mayHaveApplied
+          ? fail(codes.commitUnknown, answer.val.message)
+          : fail(codes.platformDown, answer.val.message);
+      }
+      await sleep(retryPauseMs);
+    }
+  }
+
+  async #put(name: string, bytes: Uint8Array): Promise<Result<void, Failure>> {
+    const path = `/v1/objects/${encodeURIComponent(name)}`;
+    const answer = await this.#call("PUT", path, bytes);
+    return answer.map(() => undefined);
+  }
+
+  async #get(name: string): Promise<Result<Uint8Array, Failure>> {
+    const path = `/v1/objects/${encodeURIComponent(name)}`;
+    const answer = await this.#call("GET", path);
+    if (answer.ok && answer.val.status === 404) {
+      return fail(codes.notFound, `object ${name} does not exist`);
+    }
+    return answer.map((a) => a.bytes);
+  }
+
+  async #json<T extends v.GenericSchema>(
+    method: "GET" | "POST",
+    path: string,
+    body: unknown,
+    schema: T,
+  ): Promise<Result<v.InferOutput<T>, Failure>> {
+    const text = body === undefined ? undefined : JSON.stringify(body);
+    const answer = await this.#call(method, path, text);
+    if (answer.err) return answer;
+    if (answer.val.status === 400) {
+      return fail(codes.commitRefused, `platform refused ${path}`);
+    }
+    try {
+      const json = JSON.parse(Buffer.from(answer.val.bytes).toString("utf8"));
+      const parsed = v.safeParse(schema, json);
+      if (parsed.success) return Ok(parsed.output);
+      return fail(codes.rowInvalid, `platform answer to ${path} is malformed`);
+    } catch (err) {
+      return fail(codes.commitUnknown, describeError(err));
+    }
+  }
+
+  async #call(
+    method: "GET" | "POST" | "PUT",
+    path: string,
+    body?: string | Uint8Array,
+  ): Promise<Result<Answer, Failure>> {
+    const timeout = AbortSignal.timeout(this.options.callTimeoutMs);
+    const pool = this.#pool;
+    try {
+      const res = await pool.request({
+        method,
+        path,
+        body,
+        signal: timeout,
+        headers: {
+          "content-type": "application/json",
+          "platform-zone": this.options.zone,
+        },
+      });
+      const bytes = new Uint8Array(await res.body.arrayBuffer());
+      if (res.statusCode < 500) return Ok({ status: res.statusCode, bytes });
+      return fail(codes.platformDown, `platform answered ${res.statusCode}`);
+    } catch (err) {
+      return this.#failed(pool, err);
+    }
+  }
+
+  /** Replaces the connections after a fault: an open one may be silent. */
+  #failed(pool: Pool, err: unknown): Result<Answer, Failure> {
+    if (pool === this.#pool) {
+      this.#pool = this.#open();
+      pool.close().catch(() => undefined);
+    }
+    const cause = (err as { code?: string }).code;
+    const refused = cause === "ECONNREFUSED" ||
+      cause === "UND_ERR_CONNECT_TIMEOUT";
+    const code = refused ? codes.platformDown : codes.commitUnknown;
+    return fail(code, describeError(err));
+  }
+}
--- /dev/null
+++ b/src/platform/index.ts
@@ -0,0 +1,20 @@
+/** The platform's services and their HTTP client. */
+export {
+  type Check,
+  type CommitOutcome,
+  type ListedHost,
+  listedHostSchema,
+  type ObjectStore,
+  type Platform,
+  type ReadQuery,
+  type Row,
+  type TableService,
+  type Transaction,
+  type Write,
+} from "./platform.ts";
+export {
+  HttpPlatform,
+  type HttpPlatformOptions,
+  type PlatformUse,
+} from "./http_platform.ts";
+export { decodeRow, decodeRows, type Stored } from "./stored_row.ts";
--- /dev/null
+++ b/src/platform/stored_row.ts
@@ -0,0 +1,43 @@
+/** Decoding of table rows by schema. */
+import type { Result } from "ts-results";
+import { Ok } from "ts-results";
+import * as v from "valibot";
+import { codes, fail, type Failure } from "../errors/index.ts";
+import type { Row } from "./platform.ts";
+
+/** A decoded row with the version to check in the next transaction. */
+export interface Stored<T> {
+  readonly key: string;
+  readonly version: number;
+  readonly value: T;
+}
+
+/** Decodes one row. Fails with `rowInvalid`. */
+export function decodeRow<T extends v.GenericSchema>(
+  schema: T,
+  row: Row,
+): Result<Stored<v.InferOutput<T>>, Failure> {
+  const parsed = v.safeParse(schema, row.value);
+  if (!parsed.success) {
+    const issue = parsed.issues[0];
+    return fail(codes.rowInvalid, `row ${row.key}: ${issue.message}`);
+  }
+  return Ok({ key: row.key, version: row.version, value: parsed.output });
+}
+
+/** Decodes the rows below a prefix; malformed rows are handed to `onBad`. */
+export function decodeRows<T extends v.GenericSchema>(
+  schema: T,
+  rows: readonly Row[],
+  prefix: string,
+  onBad: (err: Failure) => void = () => undefined,
+): Stored<v.InferOutput<T>>[] {
+  const found: Stored<v.InferOutput<T>>[] = [];
+  for (const row of rows) {
+    if (!row.key.startsWith(prefix)) continue;
+    const decoded = decodeRow(schema, row);
+    if (decoded.ok) found.push(decoded.val);
+    else onBad(decoded.val);
+  }
+  return found;
+}
--- /dev/null
+++ b/src/settings/index.ts
@@ -0,0 +1,7 @@
+/** Settings of an entry. */
+export {
+  loadSettings,
+  parseSettings,
+  type Settings,
+  settingsSchema,
+} from "./settings.ts";
--- /dev/null
+++ b/src/table/csv.ts
@@ -0,0 +1,150 @@
+/**
+ * The table as CSV: one line per pool or class, with the row versions that a
+ * later import is checked against.
+ */
+import { parse } from "csv-parse/sync";
+import { stringify } from "csv-stringify/sync";
+import { Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import {
+  codes,
+  describeError,
+  fail,
+  type Failure,
+  type Issue,
+} from "../errors/index.ts";
+import type { Edit, RowChange } from "./edit.ts";
+import { rowKey, type TableRow, tableRowSchema } from "./row.ts";
+import type { Table } from "./table.ts";
+
+/** Columns in their order; a column that a kind lacks stays empty. */
+export const csvColumns = [
+  "kind",
+  "name",
+  "version",
+  "pool",
+  "urgency",
+  "repeat",
+  "weight",
+  "price",
+  "rate",
+  "concurrency",
+  "queue",
+  "deadlineMs",
+  "runMs",
+  "budget",
+  "spare",
+] as const;
+
+const numberColumns = new Set<string>([
+  "weight",
+  "price",
+  "rate",
+  "concurrency",
+  "queue",
+  "deadlineMs",
+  "runMs",
+  "budget",
+]);
+
+type CsvRecord = Readonly<Record<string, string>>;
+
+/** Writes the table as CSV, pools first. */
+export function toCsv(table: Table): string {
+  const rows = [...table.rows.values()].sort((a, b) =>
+    b.row.kind.localeCompare(a.row.kind) || a.row.name.localeCompare(b.row.name)
+  );
+  const records = rows.map(({ version, row }) => ({
+    ...row,
+    version,
+    spare: row.kind === "pool" ? String(row.spare) : "",
+  }));
+  return stringify(records, { header: true, columns: [...csvColumns] });
+}
+
+/** Reads a row from text fields, with every broken rule of the row. */
+export function parseFields(
+  fields: CsvRecord,
+): { readonly row?: TableRow; readonly issues: readonly Issue[] } {
+  const raw: Record<string, unknown> = {};
+  for (const [column, text] of Object.entries(fields)) {
+    if (text !== "" && column !== "version") raw[column] = typed(column, text);
+  }
+  const parsed = v.safeParse(tableRowSchema, raw);
+  if (parsed.success) return { row: parsed.output, issues: [] };
+  const at = `${fields.kind}/${fields.name}`;
+  const issues = parsed.issues.map((issue) => {
+    const column = v.getDotPath(issue) ?? "kind";
+    return {
+      key: `${at}.${column}`,
+      value: fields[column] ?? "",
+      allowed: issue.message,
+    };
+  });
+  return { issues };
+}
+
+function typed(column: string, text: string): unknown {
+  if (numberColumns.has(column)) return Number(text);
+  if (column === "spare") {
+    return text === "true" ? true : text === "false" ? false : text;
+  }
+  return text;
+}
+
+/**
+ * Turns a CSV text into the edit that makes the table equal to it. Rows that
+ * are missing from the text are deleted. Fails with `tableInvalid`, naming
+ * every fault at once.
+ */
+export function fromCsv(
+  table: Table,
+  text: string,
+): Result<Edit, Failure> {
+  let records: CsvRecord[];
+  try {
+    records = parse(text, {
+      columns: true,
+      trim: true,
+      skip_empty_lines: true,
+    });
+  } catch (err) {
+    return fail(codes.tableInvalid, `CSV: ${describeError(err)}`);
+  }
+  const issues: Issue[] = [];
+  const changes: RowChange[] = [];
+  const kept = new Set<string>();
+  for (const fields of records) {
+    const parsed = parseFields(fields);
+    issues.push(...parsed.issues);
+    if (parsed.row === undefined) continue;
+    const key = rowKey(parsed.row);
+    if (kept.has(key)) {
+      issues.push({ key, value: parsed.row.name, allowed: "each row once" });
+    }
+    kept.add(key);
+    const base = Number(fields.version || "0");
+    if (!isSame(table, parsed.row, base)) {
+      changes.push({ key, base, row: parsed.row });
+    }
+  }
+  for (const [key, { version }] of table.rows) {
+    if (!kept.has(key)) changes.push({ key, base: version, row: null });
+  }
+  if (issues.length > 0) {
+    return fail(codes.tableInvalid, "the CSV breaks the table's rules", {
+      issues,
+    });
+  }
+  return Ok({ changes });
+}
+
+function isSame(table: Table, row: TableRow, base: number): boolean {
+  const current = table.rows.get(rowKey(row));
+  if (current === undefined || current.version !== base) return false;
+  return JSON.stringify(sorted(current.row)) === JSON.stringify(sorted(row));
+}
+
+function sorted(row: TableRow): unknown {
+  return Object.entries(row).sort(([a], [b]) => a.localeCompare(b));
+}
--- /dev/null
+++ b/src/table/index.ts
@@ -0,0 +1,36 @@
+/** The operators' table: rows, edits, versions, deltas, and CSV. */
+export {
+  type ClassRow,
+  type PoolRow,
+  type RowKey,
+  rowKey,
+  type TableRow,
+  tableRowSchema,
+} from "./row.ts";
+export {
+  checkRows,
+  Table,
+  type VersionedRow,
+  versionedRowSchema,
+} from "./table.ts";
+export {
+  checkEdit,
+  type Edit,
+  editSchema,
+  misnamedChanges,
+  type RowChange,
+} from "./edit.ts";
+export {
+  applyDelta,
+  type DeltaOutcome,
+  diffTables,
+  type TableDelta,
+  tableDeltaSchema,
+} from "./delta.ts";
+export { csvColumns, fromCsv, parseFields, toCsv } from "./csv.ts";
+export {
+  type ChangeContext,
+  commitEdit,
+  readTable,
+  readTableVersion,
+} from "./table_store.ts";
--- /dev/null
+++ b/src/table/table_store.ts
@@ -0,0 +1,125 @@
+/**
+ * The table in the platform's table service: reading a consistent snapshot
+ * and committing an edit with its audit record.
+ */
+import { Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import { codes, fail, type Failure } from "../errors/index.ts";
+import type { Platform, Row, TableService, Write } from "../platform/index.ts";
+import { auditWrite } from "../audit/index.ts";
+import { checkEdit, type Edit } from "./edit.ts";
+import { tableRowSchema } from "./row.ts";
+import { Table, type VersionedRow } from "./table.ts";
+
+const headKey = "table/head";
+const rowPrefix = "table/row/";
+const maxAttempts = 8;
+
+const headSchema = v.object({ version: v.number() });
+
+/** Who commits a change, when, and under which operation id. */
+export interface ChangeContext {
+  readonly who: string;
+  /** Wall-clock time in ms. */
+  readonly at: number;
+  readonly operation: string;
+}
+
+/** Reads the version of the committed table; 0 before the first edit. */
+export async function readTableVersion(
+  service: TableService,
+): Promise<Result<number, Failure>> {
+  const rows = await service.read({ keys: [headKey] });
+  return rows.map((list) => headOf(list).version);
+}
+
+function headOf(rows: readonly Row[]) {
+  const row = rows.find((r) => r.key === headKey);
+  if (row === undefined) return { version: 0, rowVersion: 0 };
+  const parsed = v.safeParse(headSchema, row.value);
+  const version = parsed.success ? parsed.output.version : 0;
+  return { version, rowVersion: row.version };
+}
+
+/** Reads the whole committed table in one snapshot. */
+export async function readTable(
+  service: TableService,
+): Promise<Result<Table, Failure>> {
+  const read = await readSnapshot(service);
+  return read.map((snapshot) => snapshot.table);
+}
+
+async function readSnapshot(service: TableService) {
+  const read = await service.read({ keys: [headKey], prefixes: [rowPrefix] });
+  return read.map((rows) => {
+    const head = headOf(rows);
+    return {
+      table: Table.of(head.version, decodeTableRows(rows)),
+      headVersion: head.rowVersion,
+    };
+  });
+}
+
+function decodeTableRows(rows: readonly Row[]): VersionedRow[] {
+  const found: VersionedRow[] = [];
+  for (const row of rows) {
+    if (!row.key.startsWith(rowPrefix)) continue;
+    const parsed = v.safeParse(tableRowSchema, row.value);
+    if (parsed.success) {
+      found.push({ version: row.version, row: parsed.output });
+    }
+  }
+  return found;
+}
+
+/**
+ * Commits an edit and returns the new table version.
+ *
+ * An edit of other rows that was committed in between is merged by checking
+ * this edit again. Fails with `editConflict`, `tableInvalid`, `platformDown`,
+ * or `commitUnknown`.
+ */
+export async function commitEdit(
+  platform: Pick<Platform, "table">,
+  edit: Edit,
+  ctx: ChangeContext,
+): Promise<Result<number, Failure>> {
+  for (let attempt = 0; attempt < maxAttempts; attempt++) {
+    const snapshot = await readSnapshot(platform.table);
+    if (snapshot.err) return snapshot;
+    const { table, headVersion } = snapshot.val;
+    const checked = checkEdit(table, edit);
+    if (checked.err) return checked;
+    const version = table.version + 1;
+    const outcome = await platform.table.commit({
+      operation: `${ctx.operation}/${attempt}`,
+      checks: [{ key: headKey, version: headVersion }],
+      writes: [
+        { key: headKey, value: { version } },
+        ...rowWrites(edit),
+        auditWrite({
+          at: ctx.at,
+          who: ctx.who,
+          action: "table.edit",
+          subject: `table ${version}`,
+          before: edit.changes.map((c) => table.rows.get(c.key)?.row ?? null),
+          after: edit.changes.map((c) => c.row),
+          operation: ctx.operation,
+        }),
+      ],
+    });
+    if (outcome.err) return outcome;
+    if (outcome.val.kind === "committed") return Ok(version);
+    if (outcome.val.kind === "refused") {
+      return fail(codes.commitRefused, outcome.val.message);
+    }
+  }
+  return fail(codes.editConflict, "the table changed too often, try again");
+}
+
+function rowWrites(edit: Edit): Write[] {
+  return edit.changes.map((change) => ({
+    key: `${rowPrefix}${change.key}`,
+    value: change.row,
+  }));
+}
--- /dev/null
+++ b/src/telemetry/index.ts
@@ -0,0 +1,3 @@
+/** Logs and metrics. */
+export { createLog, type Log, logRequest } from "./log.ts";
+export { createMetrics, type Gauges, type Metrics } from "./metrics.ts";
--- /dev/null
+++ b/src/telemetry/log.ts
@@ -0,0 +1,37 @@
+/** Logs as JSON lines on standard output. */
+import bunyan from "bunyan";
+import type { RequestEnd } from "../caller/index.ts";
+import { codes } from "../errors/index.ts";
+import type { Settings } from "../settings/index.ts";
+
+/** A logger of one entry. */
+export type Log = bunyan;
+
+/** Creates the logger of an entry. */
+export function createLog(settings: Settings): Log {
+  return bunyan.createLogger({
+    name: "briartide",
+    level: settings.log.level ?? "info",
+    entry: settings.entry.id,
+    zone: settings.entry.zone,
+  });
+}
+
+/** Logs the end of a request as the settings ask; bodies never appear. */
+export function logRequest(
+  log: Log,
+  mode: Settings["log"]["requests"],
+  end: RequestEnd,
+): void {
+  const good = end.code === codes.ok || end.code === codes.accepted;
+  if (mode === "none" || (mode === "failed" && good)) return;
+  log.info({
+    requestId: end.requestId,
+    class: end.class,
+    code: end.code.code,
+    run: end.code.run,
+    ms: Math.round(end.ms),
+    attempts: end.attempts,
+    host: end.host,
+  }, "request");
+}
