--- /dev/null
+++ b/bench/bare_relay.ts
@@ -0,0 +1,29 @@
+/**
+ * The baseline of the relay benchmark: `http` in, `undici` out, nothing else.
+ * Arguments: the endpoint's URL. Prints its address as its first line.
+ */
+import { createServer } from "node:http";
+import process from "node:process";
+import { Pool } from "undici";
+import { listen, readAll } from "../fakes/json_http.ts";
+
+const connections = 64;
+const pool = new Pool(process.argv[2], { connections, pipelining: 1 });
+
+const server = createServer(async (req, res) => {
+  try {
+    const body = await readAll(req);
+    const answer = await pool.request({
+      method: "POST",
+      path: req.url ?? "/",
+      body,
+    });
+    const bytes = new Uint8Array(await answer.body.arrayBuffer());
+    res.writeHead(answer.statusCode, { "content-length": bytes.length });
+    res.end(bytes);
+  } catch {
+    res.destroy();
+  }
+});
+
+listen(server).then((address) => process.stdout.write(`"${address}"\n`));
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,33 @@
+/** `npm run bench -- NAME`: runs one benchmark; its last line is JSON. */
+import process from "node:process";
+import { describeError } from "../src/errors/index.ts";
+import { stopPrograms } from "./processes.ts";
+import { relayBench } from "./relay.ts";
+
+const benches: Readonly<Record<string, () => Promise<unknown>>> = {
+  relay: relayBench,
+};
+
+async function main(name: string | undefined): Promise<number> {
+  const bench = benches[name ?? ""];
+  if (bench === undefined) {
+    const names = Object.keys(benches).join(", ");
+    process.stderr.write(`name one of ${names}\n`);
+    return 2;
+  }
+  const figures = await bench();
+  process.stdout.write(
+    `${JSON.stringify({ bench: name, ...Object(figures) })}\n`,
+  );
+  return 0;
+}
+
+main(process.argv[2])
+  .catch((err) => {
+    process.stderr.write(`${describeError(err)}\n`);
+    return 1;
+  })
+  .then((code) => {
+    stopPrograms();
+    process.exit(code);
+  });
--- /dev/null
+++ b/bench/processes.ts
@@ -0,0 +1,35 @@
+/** Child processes of the benchmarks. */
+import { type ChildProcess, spawn } from "node:child_process";
+import process from "node:process";
+import { createInterface } from "node:readline";
+
+/** A started program and the JSON of its first line. */
+export interface Started {
+  readonly child: ChildProcess;
+  readonly line: unknown;
+}
+
+const started = new Set<ChildProcess>();
+
+/** Ends every program that `startProgram` has started. */
+export function stopPrograms(): void {
+  for (const child of started) child.kill("SIGKILL");
+  started.clear();
+}
+
+/** Starts a bundle and waits for its first line. */
+export async function startProgram(
+  program: string,
+  args: readonly string[],
+): Promise<Started> {
+  const child = spawn(process.execPath, [program, ...args], {
+    stdio: ["ignore", "pipe", "inherit"],
+  });
+  started.add(child);
+  if (child.stdout === null) throw new Error(`${program} has no output`);
+  for await (const line of createInterface({ input: child.stdout })) {
+    child.stdout.resume();
+    return { child, line: JSON.parse(line) };
+  }
+  throw new Error(`${program} ended early`);
+}
--- a/fakes/endpoint_server.ts
+++ b/fakes/endpoint_server.ts
@@ -46,6 +46,8 @@
   readonly key: string;
   readonly price: string;
   readonly tableVersion: number;
+  /** Body of the request, cut to a bound. */
+  readonly mark: string;
   /** Wall-clock times in ms; 0 while it runs. */
   readonly startedAt: number;
   endedAt: number;
@@ -64,6 +66,7 @@
 }
 
 const rebootMs = 400;
+const markBytes = 200;
 const defaultFaults: EndpointFaults = {
   blackHole: false,
   silent: false,
@@ -144,6 +147,7 @@
       key: header("idempotency-key"),
       price: header("briartide-price"),
       tableVersion: Number(header("briartide-table-version")),
+      mark: body.toString("utf8").slice(0, markBytes),
       startedAt: Date.now(),
       endedAt: 0,
       status: 0,
@@ -164,7 +168,7 @@
       attempt: run.attempt,
       price: run.price,
       tableVersion: run.tableVersion,
-      received: body.toString("utf8").slice(0, 200),
+      received: run.mark,
       padding: "x".repeat(Number(url.searchParams.get("size") ?? 0)),
     });
     this.#answer(run, res);
--- /dev/null
+++ b/fakes/evidence.ts
@@ -0,0 +1,72 @@
+/** Judges what callers saw by what the endpoints recorded. */
+import type { CallerEnd } from "./caller.ts";
+import type { RunRecord } from "./endpoint_server.ts";
+
+/** An endpoint's record. */
+export interface EndpointRecord {
+  readonly name: string;
+  readonly running: number;
+  readonly maxRunning: number;
+  readonly maxConnections: number;
+  readonly boots: number;
+  readonly runs: readonly RunRecord[];
+}
+
+/** Broken promises, each with its instances. */
+export interface Findings {
+  /** Answers with code 1000 that belong to another request. */
+  readonly wrongAnswers: readonly string[];
+  /** Refused as not run, and run all the same. */
+  readonly falseNotRun: readonly string[];
+  /** Keys of at-most-once classes that ran more than once. */
+  readonly duplicates: readonly string[];
+  /** Hosts that ran work of two pools at one time. */
+  readonly mixedPools: readonly string[];
+}
+
+/** Compares the callers' ends with the endpoints' records. */
+export function judge(
+  ends: readonly CallerEnd[],
+  records: readonly EndpointRecord[],
+  onceClasses: readonly string[],
+): Findings {
+  const marks = new Set<string>();
+  const keys = new Map<string, number>();
+  for (const { runs } of records) {
+    for (const run of runs) {
+      marks.add(run.mark);
+      if (!onceClasses.includes(run.class)) continue;
+      const key = `${run.class}/${run.key}`;
+      keys.set(key, (keys.get(key) ?? 0) + 1);
+    }
+  }
+  return {
+    wrongAnswers: ends.filter((e) => e.code === 1000 && !e.own)
+      .map((e) => e.id),
+    falseNotRun: ends.filter((e) => e.run === "not-run" && marks.has(e.id))
+      .map((e) => e.id),
+    duplicates: [...keys].filter(([, n]) => n > 1).map(([key]) => key),
+    mixedPools: records.filter((r) => mixesPools(r.runs)).map((r) => r.name),
+  };
+}
+
+/** Whether two runs of different pools overlap in time. */
+function mixesPools(runs: readonly RunRecord[]): boolean {
+  const sorted = [...runs].sort((a, b) => a.startedAt - b.startedAt);
+  let busyUntil = 0;
+  let pool = "";
+  for (const run of sorted) {
+    const end = run.endedAt === 0 ? Infinity : run.endedAt;
+    if (run.pool !== pool && run.startedAt < busyUntil) return true;
+    if (run.pool !== pool) busyUntil = 0;
+    pool = run.pool;
+    busyUntil = Math.max(busyUntil, end);
+  }
+  return false;
+}
+
+/** Number of broken promises. */
+export function countFindings(findings: Findings): number {
+  return Object.values(findings)
+    .reduce((n: number, list: readonly string[]) => n + list.length, 0);
+}
--- a/fakes/stack.ts
+++ b/fakes/stack.ts
@@ -22,6 +22,7 @@
   deploymentHosts,
   deploymentTable,
 } from "./deployment.ts";
+import type { EndpointRecord } from "./evidence.ts";
 import { type Relay, type RelayMode, startRelay } from "./relay.ts";
 import { listen } from "./json_http.ts";
 
@@ -175,6 +176,13 @@
     return await res.body.json();
   }
 
+  /** Every endpoint's record. */
+  async records(): Promise<EndpointRecord[]> {
+    const reads = Object.values(this.endpoints)
+      .map((url) => this.control(url, "runs"));
+    return await Promise.all(reads) as EndpointRecord[];
+  }
+
   /** Polls until a condition holds; throws after the limit in ms. */
   async waitFor(
     condition: () => Promise<boolean>,
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -22,6 +22,8 @@
   demo: "fakes/demo_main.ts",
   soak: "fakes/soak_main.ts",
   bench: "bench/main.ts",
+  bare_relay: "bench/bare_relay.ts",
+  quick_endpoint: "bench/quick_endpoint.ts",
 };
 const seaFuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 
--- a/scripts/esbuild_options.mjs
+++ b/scripts/esbuild_options.mjs
@@ -1,3 +1,5 @@
+const absentAddon = "./scripts/absent_addon.cjs";
+
 /** Options of every bundle: one CommonJS file for Node. */
 export const bundleOptions = {
   outExtension: { ".js": ".cjs" },
@@ -6,9 +8,12 @@
   target: "node20",
   format: "cjs",
   mainFields: ["module", "main"],
-  /** The main file of ts-results needs another package. */
-  alias: { "ts-results": "./node_modules/ts-results/esm/index.js" },
-  /** Native add-ons that have a fallback in JavaScript. */
-  external: ["cbor-extract", "unix-dgram", "dtrace-provider"],
+  alias: {
+    // The main file of ts-results needs another package.
+    "ts-results": "./node_modules/ts-results/esm/index.js",
+    "cbor-extract": absentAddon,
+    "dtrace-provider": absentAddon,
+    "unix-dgram": absentAddon,
+  },
   logLevel: "warning",
 };
--- a/src/caller/read_body.ts
+++ b/src/caller/read_body.ts
@@ -29,21 +29,26 @@
   return new Promise((resolve) => {
     const pieces: Buffer[] = [];
     let size = 0;
-    const gone = () => {
-      resolve(fail(codes.cancelled, "the caller went away"));
+    const settle = (body: Result<Uint8Array, Failure>) => {
+      req.off("data", take);
+      req.off("end", end);
+      req.off("error", gone);
+      req.off("close", gone);
+      resolve(body);
     };
-    req.on("data", (piece: Buffer) => {
+    const take = (piece: Buffer) => {
       size += piece.length;
-      if (size <= maxBytes) {
-        pieces.push(piece);
-        return;
-      }
+      pieces.push(piece);
+      if (size <= maxBytes) return;
       req.pause();
-      resolve(fail(codes.bodyTooLarge, `the body exceeds ${maxBytes} bytes`));
-    });
-    req.on("end", () => {
-      resolve(Ok(pieces.length === 1 ? pieces[0] : Buffer.concat(pieces)));
-    });
+      settle(fail(codes.bodyTooLarge, `the body exceeds ${maxBytes} bytes`));
+    };
+    const end = () => {
+      settle(Ok(pieces.length === 1 ? pieces[0] : Buffer.concat(pieces)));
+    };
+    const gone = () => settle(fail(codes.cancelled, "the caller went away"));
+    req.on("data", take);
+    req.on("end", end);
     req.on("error", gone);
     req.on("close", gone);
   });
--- a/src/caller/reply.ts
+++ b/src/caller/reply.ts
@@ -19,13 +19,14 @@
 }
 
 function resultHeaders(
-  res: ServerResponse,
   code: ResultCode,
   requestId: string,
-): void {
-  res.setHeader(headerNames.code, code.code);
-  res.setHeader(headerNames.run, code.run);
-  res.setHeader(headerNames.requestId, requestId);
+): Record<string, string | number> {
+  return {
+    [headerNames.code]: code.code,
+    [headerNames.run]: code.run,
+    [headerNames.requestId]: requestId,
+  };
 }
 
 /** Replies with an endpoint's answer. */
@@ -35,22 +36,18 @@
   code: ResultCode,
   requestId: string,
 ): void {
-  for (const name in answer.headers) {
-    if (name !== headerNames.requestId) {
-      res.setHeader(name, answer.headers[name]);
-    }
-  }
-  resultHeaders(res, code, requestId);
-  if (isStream(answer.body)) {
-    res.writeHead(answer.status);
-    pipeline(answer.body, res, (err) => {
+  const { status, body } = answer;
+  const headers = { ...answer.headers, ...resultHeaders(code, requestId) };
+  if (isStream(body)) {
+    res.writeHead(status, headers);
+    pipeline(body, res, (err) => {
       if (err) res.destroy();
     });
     return;
   }
-  res.setHeader("content-length", answer.body.length);
-  res.writeHead(answer.status);
-  res.end(answer.body);
+  headers["content-length"] = body.length;
+  res.writeHead(status, headers);
+  res.end(body);
 }
 
 /** Replies with a numbered result. */
@@ -71,11 +68,11 @@
     requestId,
     ...fields,
   }));
-  resultHeaders(res, code, requestId);
-  if (location !== undefined) res.setHeader("location", location);
-  res.setHeader("content-type", "application/json");
-  res.setHeader("content-length", body.length);
-  res.writeHead(code.http);
+  const headers = resultHeaders(code, requestId);
+  if (location !== undefined) headers.location = location;
+  headers["content-type"] = "application/json";
+  headers["content-length"] = body.length;
+  res.writeHead(code.http, headers);
   res.end(body);
 }
 
--- a/src/endpoint/endpoint_client.ts
+++ b/src/endpoint/endpoint_client.ts
@@ -89,7 +89,7 @@
       const res = await pool.request({
         method: req.method as "POST",
         path: req.path,
-        headers: { ...req.headers, [headerNames.requestId]: req.attempt },
+        headers: req.headers,
         body: req.body.length > 0 ? req.body : null,
         headersTimeout: req.runMs,
         bodyTimeout: bodyPauseMs,
--- a/src/pipeline/execute.ts
+++ b/src/pipeline/execute.ts
@@ -110,6 +110,7 @@
 ): EndpointRequest {
   const headers: Record<string, string> = {
     ...req.headers,
+    [headerNames.requestId]: attempt,
     [headerNames.class]: req.class.name,
     [headerNames.pool]: req.class.pool,
     [headerNames.price]: String(req.class.price),
--- a/src/pipeline/request.ts
+++ b/src/pipeline/request.ts
@@ -35,7 +35,7 @@
 
 /** A request as it is sent to an endpoint. */
 export interface EndpointRequest {
-  /** Identifies this attempt; the endpoint echoes it. */
+  /** Identifies this attempt; the endpoint echoes it from the headers. */
   readonly attempt: string;
   readonly method: string;
   readonly path: string;
