Give the relay benchmark one endpoint address per host

Cause: all eight hosts shared one address, so the entry had 8 connections against the bare relay's 64.

--- a/bench/quick_endpoint.ts
+++ b/bench/quick_endpoint.ts
@@ -1,18 +1,26 @@
-/** An endpoint that answers at once, for the relay benchmark. */
+/**
+ * Endpoints that answer at once, for the relay benchmark. The argument is
+ * their number; the first line lists their addresses.
+ */
 import { createServer } from "node:http";
 import process from "node:process";
 import { listen, sendJson } from "../fakes/json_http.ts";
 
-const server = createServer((req, res) => {
-  if (req.url === "/briartide/health") {
-    return sendJson(res, 200, { ok: true, boot: "1", running: 0 });
-  }
-  req.resume();
-  req.on("end", () => {
-    const id = req.headers["briartide-request-id"];
-    if (id !== undefined) res.setHeader("briartide-request-id", id);
-    sendJson(res, 200, { ok: true });
-  });
-});
+function start(): Promise<string> {
+  return listen(createServer((req, res) => {
+    if (req.url === "/briartide/health") {
+      return sendJson(res, 200, { ok: true, boot: "1", running: 0 });
+    }
+    req.resume();
+    req.on("end", () => {
+      const id = req.headers["briartide-request-id"];
+      if (id !== undefined) res.setHeader("briartide-request-id", id);
+      sendJson(res, 200, { ok: true });
+    });
+  }));
+}
 
-listen(server).then((address) => process.stdout.write(`"${address}"\n`));
+Promise.all(Array.from({ length: Number(process.argv[2]) }, start))
+  .then((addresses) => {
+    process.stdout.write(`${JSON.stringify(addresses)}\n`);
+  });
--- a/bench/relay.ts
+++ b/bench/relay.ts
@@ -170,16 +170,18 @@
 /** Runs the benchmark. */
 export async function relayBench(): Promise<unknown> {
   const base = 31_000 + process.pid % 1_000;
-  const endpoint = await startProgram("dist/quick_endpoint.cjs", []);
-  const endpointUrl = `http://${endpoint.line}`;
-  const relay = await startProgram("dist/bare_relay.cjs", [endpointUrl]);
+  const endpoint = await startProgram("dist/quick_endpoint.cjs", [
+    String(hosts),
+  ]);
+  const urls = (endpoint.line as string[]).map((a) => `http://${a}`);
+  const relay = await startProgram("dist/bare_relay.cjs", [urls[0]]);
   const listed = Array.from({ length: hosts }, (_, i) => ({
     name: `fitters-${i + 1}`,
     role: "worker" as const,
     state: "live" as const,
     zone: "here",
     rack: "r1",
-    address: endpointUrl,
+    address: urls[i],
     pool: "fitters",
     slots: 8,
     connections: 64,
