Split the entry into a core over interfaces and its ports

Cause: one file of 600 lines wired everything to HTTP, so several entries could not run in one process on a virtual clock, which the fuzzing needs; safety mechanisms can now be replaced one at a time in tests.

--- /dev/null
+++ b/src/entry/entry_core.ts
@@ -0,0 +1,404 @@
+/**
+ * An entry without its ports: the pipeline, the follower, the peers, and the
+ * jobs, over interfaces to the platform, the endpoints, and the network.
+ */
+import { ActorSystem } from "../actors/index.ts";
+import { type Clock, delay, IdSource, type Random } from "../clock/index.ts";
+import type { EndpointClient } from "../endpoint/index.ts";
+import { epochSum, type FleetEffect, type FleetState } from "../fleet/index.ts";
+import type { RegisteredEntry } from "../hosts/index.ts";
+import { JobRunner, JobService, JobStore } from "../jobs/index.ts";
+import type {
+  Heartbeat,
+  Hello,
+  Member,
+  MeshEvents,
+  Message,
+  PeerNetwork,
+} from "../peers/index.ts";
+import {
+  Admission,
+  Executor,
+  LocalSlots,
+  Router,
+  Scheduler,
+  SlotClient,
+  SlotServer,
+} from "../pipeline/index.ts";
+import type { Platform } from "../platform/index.ts";
+import type { Settings } from "../settings/index.ts";
+import { diffTables, Table } from "../table/index.ts";
+import { Confirmations } from "./confirmations.ts";
+import { FleetKeeper } from "./fleet_keeper.ts";
+import { Follower } from "./follower.ts";
+import type { Mechanisms } from "./mechanisms.ts";
+import { Operations } from "./operations.ts";
+import { Ownership } from "./ownership.ts";
+import { PauseGuard } from "./pause_guard.ts";
+import { PeerLoadTable } from "./peer_loads.ts";
+
+const sweepMs = 20;
+const drainPollMs = 20;
+
+/** Notices of an entry, for its log. */
+export interface EntryEvents {
+  info(message: string, fields?: object): void;
+  warn(message: string, fields?: object): void;
+  actorFailed(actor: string, err: unknown): void;
+  badFrame(peer: string, message: string, code: number): void;
+}
+
+/** What an entry is made of. */
+export interface CoreParts {
+  readonly self: RegisteredEntry;
+  readonly token: string;
+  readonly seeds: readonly string[];
+  readonly platform: Platform;
+  readonly endpoints: EndpointClient;
+  /** Opens the links to the other entries. */
+  network(hello: Hello, events: MeshEvents): PeerNetwork;
+  readonly clock: Clock;
+  readonly random: Random;
+  readonly timing: Required<Settings["timing"]>;
+  readonly listLagMs: number;
+  readonly moves: boolean;
+  readonly events: EntryEvents;
+  readonly mechanisms: Mechanisms;
+}
+
+/** The state and the loops of one entry. */
+export class EntryCore {
+  readonly ids: IdSource;
+  readonly scheduler: Scheduler;
+  readonly guard: PauseGuard;
+  readonly network: PeerNetwork;
+  readonly fleet: FleetKeeper;
+  readonly executor: Executor;
+  readonly admission: Admission;
+  readonly client: SlotClient;
+  readonly jobStore: JobStore;
+  readonly runner: JobRunner;
+  readonly jobs: JobService;
+  readonly ownership: Ownership;
+  readonly operations: Operations;
+  readonly #actors: ActorSystem;
+  readonly #loads = new PeerLoadTable();
+  readonly #server: SlotServer;
+  readonly #router: Router;
+  readonly #follower: Follower;
+  readonly #confirmations: Confirmations;
+  /** Entries whose link broke, until their hosts are taken over. */
+  readonly #departed = new Map<string, Member>();
+  #shuttingDown = false;
+
+  constructor(private readonly parts: CoreParts) {
+    const { clock, random, self, platform, endpoints, events } = parts;
+    const { mechanisms } = parts;
+    this.ids = new IdSource(self.incarnation);
+    this.scheduler = new Scheduler(clock, random);
+    this.admission = new Admission(clock);
+    this.#actors = new ActorSystem(clock, events.actorFailed);
+    this.guard = new PauseGuard(clock, parts.timing.pause_ms, () => {
+      events.warn("process was paused; sending is blocked");
+    });
+    this.network = parts.network(
+      {
+        kind: "hello",
+        entry: self.entry,
+        incarnation: self.incarnation,
+        zone: self.zone,
+        token: parts.token,
+      },
+      {
+        heartbeat: () => this.#heartbeat(),
+        joined: (hello) => this.#joined(hello),
+        received: (hello, message) => this.#received(hello.entry, message),
+        left: (hello, reason) => this.#left(hello, reason),
+        badFrame: (from, err) =>
+          events.badFrame(from, err.message, err.code.code),
+      },
+    );
+    this.fleet = new FleetKeeper(
+      this.#actors,
+      mechanisms.applyFleetEvent,
+      (effect) => this.#carryOut(effect),
+      (state, before) => this.#fleetChanged(state, before),
+    );
+    const local = new LocalSlots(
+      this.scheduler,
+      endpoints,
+      mechanisms.guard(this.guard),
+      clock,
+    );
+    const table = () => this.table;
+    this.client = new SlotClient(this.network, this.ids, clock);
+    this.#server = new SlotServer(
+      this.scheduler,
+      local,
+      this.network,
+      table,
+      clock,
+    );
+    this.#router = new Router(
+      this.scheduler,
+      local,
+      this.client,
+      this.#loads,
+      this.ids,
+      clock,
+      random,
+    );
+    this.executor = new Executor(this.#router, this.ids, clock);
+    this.ownership = new Ownership({
+      scheduler: this.scheduler,
+      endpoints,
+      clock,
+      entry: self.entry,
+      zone: self.zone,
+      incarnation: self.incarnation,
+    });
+    this.#follower = new Follower({
+      platform,
+      guard: this.guard,
+      ids: this.ids,
+      clock,
+      random,
+      pollMs: parts.timing.poll_ms,
+      self,
+      state: () => this.fleet.state,
+      members: () => this.network.members(),
+      tell: (event) => this.fleet.tell(event),
+      isShuttingDown: () => this.#shuttingDown,
+    });
+    this.#confirmations = new Confirmations({
+      entry: self.entry,
+      incarnation: self.incarnation,
+      ids: this.ids,
+      clock,
+      state: () => this.fleet.state,
+      inFlight: (host) => this.scheduler.inFlight(host),
+      members: () => this.network.members(),
+      send: (to, message) => this.network.send(to, message),
+    });
+    this.jobStore = new JobStore(platform);
+    this.runner = new JobRunner({
+      store: this.jobStore,
+      router: this.#router,
+      endpoints,
+      ids: this.ids,
+      clock,
+      startBeforeSend: mechanisms.startBeforeSend,
+      table,
+      hosts: () => this.fleet.state.hosts,
+    });
+    this.jobs = new JobService({
+      store: this.jobStore,
+      runner: this.runner,
+      claimer: { entry: self.entry, incarnation: self.incarnation },
+      ids: this.ids,
+      clock,
+    });
+    this.operations = new Operations({
+      ...parts,
+      ids: this.ids,
+      scheduler: this.scheduler,
+      network: this.network,
+      fleet: this.fleet,
+      confirmer: mechanisms.confirmer(this.#confirmations),
+      jobStore: this.jobStore,
+      jobs: this.jobs,
+      runner: this.runner,
+    });
+  }
+
+  /** The table in force here. */
+  get table(): Table {
+    return this.fleet.state.table;
+  }
+
+  get isShuttingDown(): boolean {
+    return this.#shuttingDown;
+  }
+
+  /** Opens the links and starts the loops. */
+  async start(): Promise<void> {
+    this.network.setAddresses(this.parts.seeds);
+    this.guard.start();
+    await this.network.start();
+    this.loop("follow", () => this.#follow());
+    this.loop("sweep", () => this.#sweep());
+    this.loop("control", () => this.operations.control());
+    this.loop("eject", () => this.operations.eject());
+  }
+
+  /** Starts a further loop that ends with the entry. */
+  loop(name: string, tick: () => Promise<number>): void {
+    this.#actors.loop(name, tick);
+  }
+
+  /** Begins a shutdown: no new work, and the hosts are handed over. */
+  beginShutdown(): void {
+    this.#shuttingDown = true;
+    this.operations.stop();
+    this.runner.stop();
+    this.#updateOwnership();
+    this.network.broadcast(this.#heartbeat());
+  }
+
+  /** Ends a shutdown after the work in flight, or at the limit in ms. */
+  async endShutdown(limitMs: number): Promise<void> {
+    const { clock } = this.parts;
+    const giveUpAt = clock.now() + limitMs;
+    while (this.scheduler.totalInFlight() > 0 && clock.now() < giveUpAt) {
+      await delay(clock, drainPollMs);
+    }
+    await this.#follower.deregister();
+    await this.operations.giveUpLease();
+    this.stop();
+  }
+
+  /** Stops at once, without a farewell. */
+  stop(): void {
+    this.#actors.stop();
+    this.guard.stop();
+    this.network.stop();
+  }
+
+  async #follow(): Promise<number> {
+    const pause = await this.#follower.poll();
+    this.#updateOwnership();
+    return pause;
+  }
+
+  #sweep(): Promise<number> {
+    this.scheduler.sweep();
+    this.#router.rebalance();
+    return Promise.resolve(sweepMs);
+  }
+
+  #heartbeat(): Heartbeat {
+    const loads: Heartbeat["loads"] = {};
+    for (const pool of this.scheduler.pools()) {
+      loads[pool] = this.scheduler.load(pool);
+    }
+    return {
+      kind: "heartbeat",
+      tableVersion: this.table.version,
+      epochSum: epochSum(this.fleet.state),
+      loads,
+      busy: Object.fromEntries(this.scheduler.busyByHost()),
+      shuttingDown: this.#shuttingDown,
+    };
+  }
+
+  #carryOut(effect: FleetEffect): void {
+    switch (effect.kind) {
+      case "push-table": {
+        const delta = diffTables(effect.base, effect.next);
+        this.network.broadcast({ kind: "table", delta });
+        const { version } = effect.next;
+        this.parts.events.info("table in force", { version });
+        break;
+      }
+      case "ask-table":
+        this.network.send(effect.peer, { kind: "table-request" });
+        break;
+      case "push-hosts":
+        this.network.broadcast({
+          kind: "hosts",
+          rows: [...effect.rows],
+          unlisted: [...effect.unlisted],
+        });
+        break;
+    }
+  }
+
+  #fleetChanged(state: FleetState, before: FleetState): void {
+    if (state.table !== before.table) {
+      this.network.broadcast(this.#heartbeat());
+    }
+    this.operations.noteMoves(state, before);
+    const addresses = new Set(this.parts.seeds);
+    for (const row of state.registrations.values()) {
+      for (const entry of row.entries) addresses.add(entry.peer);
+    }
+    this.network.setAddresses(addresses);
+    this.#updateOwnership();
+  }
+
+  #updateOwnership(): void {
+    const mayOwn = this.guard.maySend() && !this.#shuttingDown;
+    const members = this.network.members();
+    const connected = new Set(members.map((m) => m.hello.entry));
+    const departed = [...this.#departed.values()]
+      .filter((m) => !connected.has(m.hello.entry));
+    this.ownership.update(this.fleet.state, [...members, ...departed], mayOwn);
+  }
+
+  #joined(hello: Hello): void {
+    this.parts.events.info("peer joined", { peer: hello.entry });
+    this.#departed.delete(hello.entry);
+    this.#updateOwnership();
+  }
+
+  #left(hello: Hello, reason: string): void {
+    const { entry } = hello;
+    this.parts.events.info("peer left", { peer: entry, reason });
+    this.#loads.remove(entry);
+    this.client.peerLeft(entry);
+    this.#server.peerLeft(entry);
+    const departed: Member = { hello, heartbeat: undefined };
+    this.#departed.set(entry, departed);
+    this.parts.clock.after(this.parts.timing.takeover_ms, () => {
+      if (this.#departed.get(entry) !== departed) return;
+      this.#departed.delete(entry);
+      this.#updateOwnership();
+    });
+  }
+
+  #received(entry: string, message: Message): void {
+    if (this.client.handle(entry, message)) return;
+    if (this.#server.handle(entry, message)) return;
+    switch (message.kind) {
+      case "heartbeat":
+        this.#heard(entry, message);
+        break;
+      case "table":
+        this.fleet.tell({ kind: "delta", delta: message.delta, from: entry });
+        break;
+      case "table-request": {
+        const delta = diffTables(Table.empty, this.table);
+        this.network.send(entry, { kind: "table", delta });
+        break;
+      }
+      case "hosts":
+        this.fleet.tell({ kind: "hosts", rows: message.rows });
+        this.fleet.tell({ kind: "unlisted", names: message.unlisted });
+        break;
+      case "hosts-request": {
+        const { hosts, unlisted } = this.fleet.state;
+        const rows = [...hosts.values()];
+        const message = { kind: "hosts", rows, unlisted: [...unlisted] };
+        this.network.send(entry, message as Message);
+        break;
+      }
+      case "confirm":
+        this.#confirmations.answer(entry, message);
+        break;
+      case "confirmed":
+        this.#confirmations.answered(message);
+        break;
+    }
+  }
+
+  #heard(entry: string, heartbeat: Heartbeat): void {
+    this.#loads.replace(entry, heartbeat.loads);
+    if (heartbeat.tableVersion > this.table.version) {
+      this.network.send(entry, { kind: "table-request" });
+    }
+    if (heartbeat.epochSum > epochSum(this.fleet.state)) {
+      this.network.send(entry, { kind: "hosts-request" });
+    }
+    if (heartbeat.shuttingDown) this.#updateOwnership();
+  }
+}
--- a/src/entry/fleet_keeper.ts
+++ b/src/entry/fleet_keeper.ts
@@ -1,7 +1,7 @@
 /** The actor that holds an entry's knowledge of the fleet. */
 import type { Actor, ActorSystem } from "../actors/index.ts";
 import {
-  applyFleetEvent,
+  type applyFleetEvent,
   emptyFleet,
   type FleetEffect,
   type FleetEvent,
@@ -15,6 +15,7 @@
 
   constructor(
     system: ActorSystem,
+    private readonly applyEvent: typeof applyFleetEvent,
     private readonly carryOut: (effect: FleetEffect) => void,
     private readonly changed: (state: FleetState, before: FleetState) => void,
   ) {
@@ -36,7 +37,7 @@
   }
 
   #apply(state: FleetState, event: FleetEvent): FleetState {
-    const step = applyFleetEvent(state, event);
+    const step = this.applyEvent(state, event);
     if (step.state === state) {
       for (const effect of step.effects) this.carryOut(effect);
       return state;
--- /dev/null
+++ b/src/entry/operations.ts
@@ -0,0 +1,228 @@
+/**
+ * An entry's work on the fleet: the controller and the moves while it holds
+ * the lease, the recovery of jobs, and the ejection of suspect hosts.
+ */
+import type { Clock, IdSource } from "../clock/index.ts";
+import type { EndpointClient } from "../endpoint/index.ts";
+import type { FleetState } from "../fleet/index.ts";
+import type { RegisteredEntry } from "../hosts/index.ts";
+import {
+  type Claimer,
+  JobRecovery,
+  type JobRunner,
+  type JobService,
+  type JobStore,
+} from "../jobs/index.ts";
+import {
+  type Confirmer,
+  Controller,
+  drainHost,
+  type DrainParts,
+  ejectFromPool,
+  Lease,
+  nextMove,
+  reinstateInPool,
+} from "../maintenance/index.ts";
+import type { PeerNetwork } from "../peers/index.ts";
+import type { Scheduler } from "../pipeline/index.ts";
+import type { Check, Platform } from "../platform/index.ts";
+import type { Settings } from "../settings/index.ts";
+import type { EntryEvents } from "./entry_core.ts";
+import type { FleetKeeper } from "./fleet_keeper.ts";
+import type { Mechanisms } from "./mechanisms.ts";
+import { fleetPressure } from "./pressure.ts";
+
+const activeRoundMs = 150;
+const recoveryMs = 1_000;
+const ejectionMs = 500;
+/** Renewals within the time of a lease. */
+const renewalsPerLease = 3;
+
+/** What operations need of the entry. */
+export interface OperationsParts {
+  readonly self: RegisteredEntry;
+  readonly platform: Platform;
+  readonly endpoints: EndpointClient;
+  readonly ids: IdSource;
+  readonly clock: Clock;
+  readonly scheduler: Scheduler;
+  readonly network: PeerNetwork;
+  readonly fleet: FleetKeeper;
+  readonly confirmer: Confirmer;
+  readonly jobStore: JobStore;
+  readonly jobs: JobService;
+  readonly runner: JobRunner;
+  readonly timing: Required<Settings["timing"]>;
+  readonly listLagMs: number;
+  readonly moves: boolean;
+  readonly events: EntryEvents;
+  readonly mechanisms: Mechanisms;
+}
+
+/** Runs the controller, the recovery, the moves, and the ejections. */
+export class Operations {
+  readonly #lease: Lease;
+  readonly #controller: Controller;
+  readonly #recovery: JobRecovery;
+  readonly #drainParts: DrainParts;
+  /** Monotonic time in ms at which each host last changed pools. */
+  readonly #movedAt = new Map<string, number>();
+  /** Monotonic time in ms at which each claimer was last connected. */
+  readonly #lastSeen = new Map<string, number>();
+  readonly #ejected = new Set<string>();
+  #nextRecoveryAt = 0;
+  #stopped = false;
+
+  constructor(private readonly parts: OperationsParts) {
+    const { self, platform, endpoints, ids, clock, timing } = parts;
+    const { mechanisms } = parts;
+    this.#drainParts = {
+      platform,
+      endpoints,
+      checkBudget: mechanisms.checkBudget,
+    };
+    this.#lease = new Lease(
+      platform.table,
+      {
+        holder: self.entry,
+        incarnation: self.incarnation,
+        leaseMs: timing.lease_ms,
+        renewMs: timing.lease_ms / renewalsPerLease,
+      },
+      ids,
+      clock,
+    );
+    this.#controller = new Controller({
+      ...this.#drainParts,
+      platform,
+      endpoints,
+      confirmer: parts.confirmer,
+      ids,
+      clock,
+      settings: {
+        listLagMs: parts.listLagMs,
+        bootMs: timing.boot_ms,
+        endpointIdleProbe: mechanisms.endpointIdleProbe,
+      },
+      name: self.entry,
+      table: () => parts.fleet.state.table,
+      learned: (rows) => parts.fleet.tell({ kind: "hosts", rows }),
+    });
+    this.#recovery = new JobRecovery({
+      store: parts.jobStore,
+      service: parts.jobs,
+      runner: parts.runner,
+      ids,
+      isGone: (claimer) => this.#isGone(claimer),
+    });
+  }
+
+  /** Whether this entry holds the controller's lease. */
+  get isController(): boolean {
+    return this.#lease.term !== undefined;
+  }
+
+  /** Lets no further round begin. */
+  stop(): void {
+    this.#stopped = true;
+  }
+
+  /** Gives the lease up, for shutdown. */
+  async giveUpLease(): Promise<void> {
+    await this.#lease.giveUp();
+  }
+
+  /** Does one round of the controller; returns the pause after it in ms. */
+  async control(): Promise<number> {
+    const pollMs = this.parts.timing.poll_ms;
+    if (this.#stopped) return pollMs;
+    await this.#lease.keep();
+    const { term } = this.#lease;
+    if (term === undefined) return pollMs;
+    const active = await this.#controller.round(term);
+    const moved = await this.#moveHosts(term);
+    await this.#recoverJobs();
+    return active || moved ? activeRoundMs : pollMs;
+  }
+
+  /** Remembers when hosts changed pools. */
+  noteMoves(state: FleetState, before: FleetState): void {
+    for (const host of state.hosts.values()) {
+      const known = before.hosts.get(host.name);
+      if (known === undefined || known.pool === host.pool) continue;
+      this.#movedAt.set(host.name, this.parts.clock.now());
+    }
+  }
+
+  /** Ejects suspect hosts within the budget, and reinstates sound ones. */
+  async eject(): Promise<number> {
+    const { scheduler, events } = this.parts;
+    if (this.#stopped) return ejectionMs;
+    for (const { name } of scheduler.suspects()) {
+      const ctx = this.#changeContext();
+      const ejected = await ejectFromPool(this.#drainParts, name, ctx);
+      if (ejected.err) continue;
+      scheduler.eject(name);
+      this.#ejected.add(name);
+      events.warn("host ejected", { host: name });
+    }
+    for (const { name } of scheduler.soundHosts()) {
+      if (!this.#ejected.has(name)) continue;
+      const ctx = this.#changeContext();
+      const back = await reinstateInPool(this.#drainParts, name, ctx);
+      if (back.ok) this.#ejected.delete(name);
+    }
+    return ejectionMs;
+  }
+
+  async #recoverJobs(): Promise<void> {
+    const now = this.parts.clock.now();
+    if (now < this.#nextRecoveryAt) return;
+    this.#nextRecoveryAt = now + recoveryMs;
+    await this.#recovery.sweep();
+  }
+
+  async #moveHosts(term: Check): Promise<boolean> {
+    const { parts } = this;
+    if (!parts.moves) return false;
+    const { hosts, table } = parts.fleet.state;
+    const move = nextMove({
+      ...fleetPressure(table, parts.scheduler, parts.network.members()),
+      hosts,
+      movedAt: this.#movedAt,
+      now: parts.clock.now(),
+      minStayMs: parts.timing.min_stay_ms,
+    });
+    if (move === undefined) return false;
+    const order = {
+      host: move.host,
+      target: move.to,
+      cause: "move",
+      checks: [term],
+    };
+    const ctx = this.#changeContext();
+    const drained = await drainHost(this.#drainParts, order, ctx);
+    if (drained.err) return false;
+    parts.fleet.tell({ kind: "hosts", rows: [drained.val.host] });
+    return true;
+  }
+
+  #changeContext() {
+    const { self, clock, ids } = this.parts;
+    return { who: self.entry, at: clock.wall(), operation: ids.next() };
+  }
+
+  #isGone({ entry, incarnation }: Claimer): boolean {
+    if (incarnation === this.parts.self.incarnation) return false;
+    const now = this.parts.clock.now();
+    const connected = this.parts.network.members().some((m) =>
+      m.hello.entry === entry && m.hello.incarnation === incarnation
+    );
+    const seen = this.#lastSeen.get(incarnation);
+    if (connected || seen === undefined) {
+      this.#lastSeen.set(incarnation, now);
+      return false;
+    }
+    return now - seen > this.parts.timing.orphan_ms;
+  }
+}
--- a/src/jobs/job_runner.ts
+++ b/src/jobs/job_runner.ts
@@ -38,6 +38,8 @@
   readonly endpoints: EndpointClient;
   readonly ids: IdSource;
   readonly clock: Clock;
+  /** Whether an at-most-once run commits its start before it is sent. */
+  readonly startBeforeSend: boolean;
   table(): Table;
   hosts(): HostMap;
 }
@@ -111,7 +113,7 @@
       await delay(this.parts.clock, retryPauseMs);
       return { kind: "go-on", job };
     }
-    return job.value.once
+    return job.value.once && this.parts.startBeforeSend
       ? await this.#runOnce(job, slot.val, signal)
       : await this.#runRepeatable(job, slot.val, signal);
   }
--- a/src/maintenance/controller.ts
+++ b/src/maintenance/controller.ts
@@ -34,7 +34,7 @@
   type Write,
 } from "../platform/index.ts";
 import type { Table } from "../table/index.ts";
-import { drainHost } from "./drain.ts";
+import { drainHost, type DrainParts } from "./drain.ts";
 import {
   reviewWave,
   setStep,
@@ -56,7 +56,7 @@
 }
 
 /** What the controller needs of its entry. */
-export interface ControllerParts {
+export interface ControllerParts extends DrainParts {
   readonly platform: Platform;
   readonly endpoints: EndpointClient;
   readonly confirmer: Confirmer;
@@ -69,12 +69,14 @@
   learned(rows: readonly Host[]): void;
 }
 
-/** Times of the controller in ms. */
+/** Settings of the controller; times in ms. */
 export interface ControllerSettings {
   /** Stated lag of the platform's list. */
   readonly listLagMs: number;
   /** Time for a host to come back from a reboot. */
   readonly bootMs: number;
+  /** Whether a host changes pools only when its endpoint reports no run. */
+  readonly endpointIdleProbe: boolean;
 }
 
 /** Everything that one round decides on. */
@@ -278,6 +280,7 @@
    * gone. A host that does not answer changes no pool.
    */
   async #isIdle(host: Host): Promise<boolean> {
+    if (!this.parts.settings.endpointIdleProbe) return true;
     const health = await this.parts.endpoints.health(host);
     if (health.ok) return health.val.running === 0;
     return host.target === undefined;
--- a/src/maintenance/drain.ts
+++ b/src/maintenance/drain.ts
@@ -39,6 +39,8 @@
 export interface DrainParts {
   readonly platform: Pick<Platform, "table" | "listHosts">;
   readonly endpoints: Pick<EndpointClient, "health">;
+  /** Decides whether a host may become unavailable. */
+  readonly checkBudget?: typeof checkBudget;
 }
 
 /** A wish to take a host out of service. */
@@ -85,7 +87,7 @@
     const { host, view, budget, checks } = decision.val;
     const next = startDrain(host.value, order.cause, order.target);
     if (next.err) return next;
-    const allowed = checkBudget(view, host.value);
+    const allowed = (parts.checkBudget ?? checkBudget)(view, host.value);
     if (allowed.err) return allowed;
     const outcome = await parts.platform.table.commit({
       operation: `${ctx.operation}/${attempt}`,
--- a/src/maintenance/ejection.ts
+++ b/src/maintenance/ejection.ts
@@ -39,7 +39,8 @@
   const ejects = action === "host.eject";
   if (budget.value.ejected.includes(host) === ejects) return Ok(undefined);
   if (ejects) {
-    const allowed = checkBudget(view, decision.val.host.value);
+    const check = parts.checkBudget ?? checkBudget;
+    const allowed = check(view, decision.val.host.value);
     if (allowed.err) return allowed;
   }
   const others = budget.value.ejected.filter((name) => name !== host);
--- a/src/peers/index.ts
+++ b/src/peers/index.ts
@@ -20,5 +20,6 @@
   Mesh,
   type MeshEvents,
   type MeshOptions,
+  type PeerNetwork,
   splitAddress,
 } from "./mesh.ts";
--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -45,8 +45,24 @@
   heartbeat: Heartbeat | undefined;
 }
 
+/** The links to the other entries, as an entry uses them. */
+export interface PeerNetwork {
+  start(): Promise<void>;
+  stop(): void;
+  /** Replaces the set of addresses to keep links to. */
+  setAddresses(addresses: Iterable<string>): void;
+  /** The connected peers. */
+  members(): readonly Member[];
+  /** Sends to one peer; false when there is no link. */
+  send(entry: string, message: Message): boolean;
+  /** Bytes that wait on the link to a peer. */
+  backlog(entry: string): number;
+  /** Sends to every connected peer. */
+  broadcast(message: Message): void;
+}
+
 /** Maintains one link to each other entry. */
-export class Mesh implements LinkEvents {
+export class Mesh implements LinkEvents, PeerNetwork {
   readonly traffic: LinkTraffic = {
     framesOut: 0,
     bytesOut: 0,
