Fuzz four entries on a virtual clock; make decisions on drains expire

A decision older than 1 s is made again now. Ruled out with traces: a drain of a host that is already off the list costs no budget (the oracle counted it); frames lost by a short cut on a living TCP link (the fake network dropped them, TCP delivers them).

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -21,6 +21,8 @@
   stack: "fakes/stack_main.ts",
   demo: "fakes/demo_main.ts",
   soak: "fakes/soak_main.ts",
+  fuzz: "test/fuzz/run.ts",
+  proof: "test/fuzz/proof.ts",
   bench: "bench/main.ts",
   bare_relay: "bench/bare_relay.ts",
   quick_endpoint: "bench/quick_endpoint.ts",
--- a/src/entry/operations.ts
+++ b/src/entry/operations.ts
@@ -79,6 +79,7 @@
     this.#drainParts = {
       platform,
       endpoints,
+      clock,
       checkBudget: mechanisms.checkBudget,
     };
     this.#lease = new Lease(
--- a/src/maintenance/drain.ts
+++ b/src/maintenance/drain.ts
@@ -3,6 +3,7 @@
  * pool's budget row, with an audit record.
  */
 import { Ok, type Result } from "ts-results";
+import type { Clock } from "../clock/index.ts";
 import { auditWrite } from "../audit/index.ts";
 import { codes, fail, type Failure } from "../errors/index.ts";
 import type { EndpointClient } from "../endpoint/index.ts";
@@ -34,11 +35,14 @@
 } from "./budget.ts";
 
 const maxAttempts = 6;
+/** A decision older than this is made again: the list may have moved on. */
+export const maxDecisionAgeMs = 1_000;
 
 /** Services that a drain uses. */
 export interface DrainParts {
   readonly platform: Pick<Platform, "table" | "listHosts">;
   readonly endpoints: Pick<EndpointClient, "health">;
+  readonly clock: Pick<Clock, "now">;
   /** Decides whether a host may become unavailable. */
   readonly checkBudget?: typeof checkBudget;
 }
@@ -82,6 +86,7 @@
   ctx: ChangeContext,
 ): Promise<Result<Drained, Failure>> {
   for (let attempt = 0; attempt < maxAttempts; attempt++) {
+    const decidedAt = parts.clock.now();
     const decision = await gatherDecision(parts, order);
     if (decision.err) return decision;
     const { host, view, budget, checks } = decision.val;
@@ -89,6 +94,7 @@
     if (next.err) return next;
     const allowed = (parts.checkBudget ?? checkBudget)(view, host.value);
     if (allowed.err) return allowed;
+    if (parts.clock.now() - decidedAt > maxDecisionAgeMs) continue;
     const outcome = await parts.platform.table.commit({
       operation: `${ctx.operation}/${attempt}`,
       checks: [...checks, ...(order.checks ?? [])],
--- a/src/maintenance/index.ts
+++ b/src/maintenance/index.ts
@@ -8,7 +8,12 @@
   checkBudget,
   type PoolView,
 } from "./budget.ts";
-export { drainHost, type DrainOrder, type DrainParts } from "./drain.ts";
+export {
+  drainHost,
+  type DrainOrder,
+  type DrainParts,
+  maxDecisionAgeMs,
+} from "./drain.ts";
 export { ejectFromPool, reinstateInPool } from "./ejection.ts";
 export { Lease, type LeaseOptions } from "./lease.ts";
 export {
--- a/src/operator/fleet_commands.ts
+++ b/src/operator/fleet_commands.ts
@@ -2,6 +2,7 @@
 import { Ok, type Result } from "ts-results";
 import type * as v from "valibot";
 import { auditWrite } from "../audit/index.ts";
+import type { Clock } from "../clock/index.ts";
 import type { EndpointClient } from "../endpoint/index.ts";
 import { codes, fail, type Failure } from "../errors/index.ts";
 import {
@@ -38,6 +39,7 @@
 export interface CommandParts {
   readonly platform: Platform;
   readonly endpoints: EndpointClient;
+  readonly clock: Clock;
 }
 
 type WavePlan = v.InferOutput<typeof wavePlanSchema>;
--- /dev/null
+++ b/test/fuzz/fake_endpoints.ts
@@ -0,0 +1,144 @@
+/** Endpoints of the simulated hosts, with a record of each run. */
+import { Ok, type Result } from "ts-results";
+import type {
+  EndpointClient,
+  EndpointHealth,
+  RunQuery,
+  RunState,
+} from "../../src/endpoint/index.ts";
+import { codes, fail, type Failure } from "../../src/errors/index.ts";
+import type { Host } from "../../src/hosts/index.ts";
+import type { EndpointRequest, Outcome } from "../../src/pipeline/index.ts";
+import type { ProcessClock, VirtualClock } from "./virtual_clock.ts";
+
+const hopMs = 1;
+const rebootMs = 300;
+
+/** One run on a host. */
+export interface FakeRun {
+  readonly host: string;
+  readonly attempt: string;
+  readonly class: string;
+  readonly pool: string;
+  readonly key: string;
+  readonly mark: string;
+  readonly startedAt: number;
+  endedAt: number;
+}
+
+/** The hosts' side of the simulation. */
+export class FakeEndpoints {
+  readonly runs: FakeRun[] = [];
+  /** Hosts that lose the answers of their runs. */
+  readonly dropping = new Set<string>();
+  /** Hosts that fail everything at once. */
+  readonly blackHoles = new Set<string>();
+  /** Hosts that do not come back healthy from a reboot. */
+  readonly spoiled = new Set<string>();
+  readonly unhealthy = new Set<string>();
+  #boots = new Map<string, number>();
+  #down = new Set<string>();
+
+  constructor(private readonly clock: VirtualClock) {}
+
+  /** Reboots a host: its runs end without an answer. */
+  reboot(host: string): void {
+    this.#down.add(host);
+    for (const run of this.#running(host)) run.endedAt = this.clock.now();
+    this.clock.after(rebootMs, () => {
+      this.#down.delete(host);
+      this.#boots.set(host, (this.#boots.get(host) ?? 0) + 1);
+      if (this.spoiled.has(host)) this.unhealthy.add(host);
+    });
+  }
+
+  /** The client that one process uses. */
+  clientOf(process: ProcessClock): EndpointClient {
+    return {
+      send: (host, req, signal) =>
+        process.deliver(this.#send(host, req, signal)),
+      queryRun: (host, query) => process.deliver(this.#query(host, query)),
+      health: (host) => process.deliver(this.#health(host)),
+    };
+  }
+
+  #running(host: string): FakeRun[] {
+    return this.runs.filter((r) => r.host === host && r.endedAt === Infinity);
+  }
+
+  #wait(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.clock.after(ms, resolve);
+    });
+  }
+
+  async #send(
+    host: Host,
+    req: EndpointRequest,
+    signal: AbortSignal,
+  ): Promise<Outcome> {
+    await this.#wait(hopMs);
+    if (this.#down.has(host.name)) return failed(codes.connectFailed);
+    const run: FakeRun = {
+      host: host.name,
+      attempt: req.attempt,
+      class: req.headers["briartide-class"],
+      pool: req.headers["briartide-pool"],
+      key: req.headers["idempotency-key"] ?? "",
+      mark: new TextDecoder().decode(req.body),
+      startedAt: this.clock.now(),
+      endedAt: Infinity,
+    };
+    this.runs.push(run);
+    const bad = this.blackHoles.has(host.name);
+    const ms = bad ? 0 : Number(req.path.split("ms=")[1] ?? 0);
+    this.clock.after(ms, () => {
+      run.endedAt = Math.min(run.endedAt, this.clock.now());
+    });
+    const aborted = new Promise<"aborted">((resolve) => {
+      signal.addEventListener("abort", () => resolve("aborted"));
+    });
+    const end = await Promise.race([
+      this.#wait(ms + hopMs).then(() => "ended" as const),
+      this.#wait(req.runMs).then(() => "late" as const),
+      aborted,
+    ]);
+    if (end === "late") return failed(codes.runTimeout);
+    const lost = this.dropping.has(host.name) || this.#down.has(host.name) ||
+      run.endedAt < run.startedAt + ms;
+    if (end === "aborted" || lost) return failed(codes.connectionLost);
+    const body = new TextEncoder().encode(run.mark);
+    return { kind: "answer", status: bad ? 500 : 200, headers: {}, body };
+  }
+
+  async #query(
+    host: Host,
+    query: RunQuery,
+  ): Promise<Result<RunState, Failure>> {
+    await this.#wait(hopMs);
+    if (this.#down.has(host.name)) return fail(codes.connectionLost, "down");
+    const run = this.runs.findLast((r) =>
+      r.host === host.name &&
+      ("attempt" in query
+        ? r.attempt === query.attempt
+        : r.class === query.class && r.key === query.key)
+    );
+    if (run === undefined) return Ok({ state: "unknown" });
+    if (run.endedAt === Infinity) return Ok({ state: "running" });
+    return Ok({ state: "done", status: 200, body: btoa(run.mark) });
+  }
+
+  async #health(host: Host): Promise<Result<EndpointHealth, Failure>> {
+    await this.#wait(hopMs);
+    if (this.#down.has(host.name)) return fail(codes.connectionLost, "down");
+    return Ok({
+      ok: !this.unhealthy.has(host.name),
+      boot: String(this.#boots.get(host.name) ?? 0),
+      running: this.#running(host.name).length,
+    });
+  }
+}
+
+function failed(code: Failure["code"]): Outcome {
+  return { kind: "failed", failure: { code, message: code.meaning } };
+}
--- /dev/null
+++ b/test/fuzz/world.ts
@@ -0,0 +1,404 @@
+/** Several entries' cores with fakes, on one virtual clock. */
+import { Ok } from "ts-results";
+import type { Random } from "../../src/clock/index.ts";
+import { EntryCore, type Mechanisms } from "../../src/entry/index.ts";
+import { codes, fail } from "../../src/errors/index.ts";
+import { type CallerRequest, outcomeCode } from "../../src/pipeline/index.ts";
+import type { ListedHost, Platform } from "../../src/platform/index.ts";
+import { maxDecisionAgeMs } from "../../src/maintenance/index.ts";
+import { commitEdit, type TableRow } from "../../src/table/index.ts";
+import { MemoryPlatform } from "../../fakes/memory_platform.ts";
+import { FakeEndpoints } from "./fake_endpoints.ts";
+import { FakeNetwork } from "./fake_network.ts";
+import { type CallerFact, Oracle } from "./oracle.ts";
+import { ProcessClock, VirtualClock } from "./virtual_clock.ts";
+
+const hopMs = 1;
+const lostAnswerMs = 50;
+const listLagMs = 300;
+/** Least and greatest time for all work to end after the faults. */
+const minSettleMs = 4_000;
+const maxSettleMs = 240_000;
+const settleStepMs = 2_000;
+/** States in which a job waits for nobody but an operator. */
+const atRest = new Set(["done", "cancelled", "parked", "unknown"]);
+
+export const entryZones = ["a", "a", "b", "b"];
+export const hostNames = ["h1", "h2", "h3", "h4", "h5", "h6"];
+export const pools = ["p1", "p2"];
+export const onceClass = "rent";
+export const budgets = { p1: 2, p2: 1 };
+
+const timing = {
+  heartbeat_ms: 100,
+  silence_ms: 500,
+  takeover_ms: 200,
+  poll_ms: 200,
+  pause_ms: 300,
+  lease_ms: 1_200,
+  boot_ms: 2_000,
+  orphan_ms: 800,
+  min_stay_ms: 500,
+};
+
+function classRow(
+  name: string,
+  pool: string,
+  urgency: "urgent" | "patient",
+  repeat: "repeatable" | "once",
+): TableRow {
+  const deadlineMs = urgency === "urgent" ? 600 : 0;
+  return {
+    kind: "class",
+    name,
+    pool,
+    urgency,
+    repeat,
+    weight: 1,
+    price: 1,
+    rate: 0,
+    concurrency: 0,
+    queue: 50,
+    deadlineMs,
+    runMs: 1_500,
+  };
+}
+
+const tableRows: readonly TableRow[] = [
+  { kind: "pool", name: "p1", budget: budgets.p1, spare: false },
+  { kind: "pool", name: "p2", budget: budgets.p2, spare: true },
+  classRow("urgent1", "p1", "urgent", "repeatable"),
+  classRow("urgent2", "p2", "urgent", "repeatable"),
+  classRow(onceClass, "p1", "patient", "once"),
+  classRow("batch", "p2", "patient", "repeatable"),
+];
+
+/** One entry's process. */
+export interface Process {
+  readonly name: string;
+  readonly zone: string;
+  readonly clock: ProcessClock;
+  readonly core: EntryCore;
+  readonly incarnation: string;
+}
+
+/** A whole simulation. */
+export class World {
+  readonly clock = new VirtualClock();
+  readonly platform = new MemoryPlatform();
+  readonly endpoints = new FakeEndpoints(this.clock);
+  readonly network = new FakeNetwork(this.clock);
+  readonly oracle = new Oracle();
+  readonly facts: CallerFact[] = [];
+  readonly acknowledged: string[] = [];
+  /** How often each fault and state was reached. */
+  readonly reached = new Map<string, number>();
+  readonly processes = new Map<string, Process>();
+  #starts = 0;
+  #marks = 0;
+  #open = 0;
+  #operations = 0;
+  /** Virtual time in ms at which hosts left the list. */
+  #unlistedAt = new Map<string, number>();
+
+  constructor(
+    private readonly random: Random,
+    readonly mechanisms: Mechanisms,
+  ) {
+    for (const [i, name] of hostNames.entries()) {
+      this.platform.hosts.set(name, this.#listed(name, i));
+    }
+    entryZones.forEach((zone, i) => {
+      const name = `e${i + 1}`;
+      const entry = { ...this.#listed(name, i), zone, role: "entry" as const };
+      this.platform.hosts.set(name, entry);
+    });
+    this.platform.onReboot = (host) => {
+      this.count("reboot");
+      this.endpoints.reboot(host);
+    };
+  }
+
+  /** Starts every entry with a committed table and owned hosts. */
+  async start(): Promise<void> {
+    const changes = tableRows.map((row) => ({
+      key: `${row.kind}/${row.name}`,
+      base: 0,
+      row,
+    }));
+    const ctx = { who: "test", at: 0, operation: "first-edit" };
+    await commitEdit(this.platform, { changes }, ctx);
+    entryZones.forEach((_, i) => this.startEntry(`e${i + 1}`));
+    await this.clock.advance(3_000);
+  }
+
+  count(what: string): void {
+    this.reached.set(what, (this.reached.get(what) ?? 0) + 1);
+  }
+
+  nextOperation(): string {
+    this.#operations++;
+    return `operator-${this.#operations}`;
+  }
+
+  /** Starts a process for an entry whose host has none. */
+  startEntry(name: string): void {
+    if (this.processes.has(name)) return;
+    const zone = entryZones[Number(name.slice(1)) - 1];
+    const clock = new ProcessClock(this.clock);
+    const incarnation = `${name}.${++this.#starts}`;
+    const core = new EntryCore({
+      self: { entry: name, incarnation, zone, peer: name },
+      token: "",
+      seeds: [],
+      platform: this.#platformFor(clock, zone),
+      endpoints: this.endpoints.clientOf(clock),
+      network: (hello, events) => this.network.open(hello, events, clock),
+      clock,
+      random: this.random,
+      timing,
+      listLagMs,
+      moves: true,
+      mechanisms: this.mechanisms,
+      events: {
+        info: () => {},
+        warn: (message) => this.count(message),
+        actorFailed: (actor, err) => {
+          if (!clock.isDead) this.oracle.faults.push(`${actor}: ${err}`);
+        },
+        badFrame: () => {},
+      },
+    });
+    this.processes.set(name, { name, zone, clock, core, incarnation });
+    core.start();
+  }
+
+  /** Ends a process without a farewell. */
+  kill(name: string): void {
+    const process = this.processes.get(name);
+    if (process === undefined) return;
+    process.clock.kill();
+    process.core.stop();
+    this.network.died(name);
+    this.processes.delete(name);
+  }
+
+  /** Sends one request to an entry's pipeline. */
+  send(entry: string, className: string, runMs: number, key?: string): void {
+    const process = this.processes.get(entry);
+    const row = process?.core.table.class(className);
+    if (process === undefined || row === undefined) return;
+    const mark = `mark-${++this.#marks}`;
+    const abort = new AbortController();
+    const now = this.clock.now();
+    const req: CallerRequest = {
+      id: mark,
+      class: row,
+      tableVersion: process.core.table.version,
+      method: "POST",
+      path: `/?ms=${runMs}`,
+      headers: {},
+      body: new TextEncoder().encode(key ?? mark),
+      startBy: row.deadlineMs === 0 ? undefined : now + row.deadlineMs,
+      key,
+      signal: abort.signal,
+    };
+    if (row.repeat === "once" || className === "batch") {
+      this.#submit(process, req);
+    } else {
+      this.#execute(process, req, abort);
+    }
+  }
+
+  /** Heals everything and lets the work end, then judges. */
+  async settle(): Promise<void> {
+    this.platform.faults.down = false;
+    this.platform.faults.loseAnswers = 0;
+    this.platform.faults.cutZones = [];
+    this.network.healAll();
+    this.endpoints.blackHoles.clear();
+    this.endpoints.dropping.clear();
+    for (const { clock } of this.processes.values()) clock.resume();
+    for (const [i] of entryZones.entries()) this.startEntry(`e${i + 1}`);
+    await this.clock.advance(minSettleMs);
+    const giveUpAt = this.clock.now() + maxSettleMs;
+    while (!this.#isSettled() && this.clock.now() < giveUpAt) {
+      await this.clock.advance(settleStepMs);
+    }
+    this.#watchVersions();
+    if (this.#open > 0) {
+      this.oracle.faults.push(`${this.#open} requests never ended`);
+    }
+    this.#judgeJobs();
+    this.oracle.judgeRuns(this.endpoints.runs, this.facts, onceClass);
+    for (const name of [...this.processes.keys()]) this.kill(name);
+  }
+
+  /** Lets time pass and watches the versions in force. */
+  async advance(ms: number): Promise<void> {
+    await this.clock.advance(ms);
+    this.#watchVersions();
+  }
+
+  #watchVersions(): void {
+    for (const { incarnation, core } of this.processes.values()) {
+      this.oracle.inForce(incarnation, core.table.version);
+    }
+  }
+
+  #isSettled(): boolean {
+    const states = this.#jobStates();
+    return this.#open === 0 &&
+      this.acknowledged.every((id) => atRest.has(states.get(id) ?? "lost"));
+  }
+
+  #jobStates(): ReadonlyMap<string, string> {
+    const states = new Map<string, string>();
+    for (const row of this.platform.rows.values()) {
+      if (!row.key.startsWith("job/")) continue;
+      const job = row.value as { id: string; state: string };
+      states.set(job.id, job.state);
+    }
+    return states;
+  }
+
+  #judgeJobs(): void {
+    const states = this.#jobStates();
+    for (const state of states.values()) this.count(`job ${state}`);
+    for (const id of this.acknowledged) {
+      const state = states.get(id) ?? "lost";
+      if (!atRest.has(state)) {
+        this.oracle.faults.push(`acknowledged job ${id} is ${state}`);
+      }
+    }
+  }
+
+  async #execute(
+    process: Process,
+    req: CallerRequest,
+    abort: AbortController,
+  ): Promise<void> {
+    this.#open++;
+    const ended = new Promise<"died">((resolve) => {
+      const look = () => {
+        if (process.clock.isDead) resolve("died");
+        else this.clock.after(100, look);
+      };
+      this.clock.after(100, look);
+    });
+    const end = await Promise.race([process.core.executor.execute(req), ended]);
+    this.#open--;
+    if (end === "died") return abort.abort();
+    const { outcome } = end;
+    const code = outcomeCode(outcome);
+    this.count(`request ${code.name}`);
+    const answer = outcome.kind === "answer"
+      ? new TextDecoder().decode(outcome.body as Uint8Array)
+      : "";
+    const fact = { mark: req.id, code: code.code, run: code.run, answer };
+    this.facts.push(fact);
+    this.oracle.ended(fact);
+  }
+
+  async #submit(process: Process, req: CallerRequest): Promise<void> {
+    const job = await process.core.jobs.submit(req);
+    if (process.clock.isDead) return;
+    if (job.ok) this.acknowledged.push(job.val.value.id);
+    this.count(job.ok ? "job accepted" : `job ${job.val.code.name}`);
+  }
+
+  /** The platform as one process reaches it. */
+  #platformFor(process: ProcessClock, zone: string): Platform {
+    const { platform } = this;
+    const call = <T>(f: () => T): Promise<T> =>
+      process.deliver(
+        new Promise((resolve) => {
+          this.clock.after(hopMs, () => {
+            const result = f();
+            this.clock.after(hopMs, () => resolve(result));
+          });
+        }),
+      );
+    const cut = () => platform.faults.cutZones.includes(zone);
+    const down = () => fail(codes.platformDown, "cut off");
+    return {
+      table: {
+        read: (query) => call(() => cut() ? down() : platform.read(query)),
+        commit: async (tx) => {
+          const outcome = await call(() => {
+            if (cut()) return down();
+            const before = new Map(platform.rows);
+            const applied = platform.commit(tx);
+            this.noteCommit(tx, before);
+            return applied;
+          });
+          if (outcome.err && outcome.val.code === codes.commitUnknown) {
+            this.count("lost answer");
+            await call(() => {});
+            await new Promise<void>((r) => process.after(lostAnswerMs, r));
+          }
+          return outcome;
+        },
+      },
+      objects: platform.objects,
+      listHosts: () =>
+        call(() =>
+          cut() || platform.faults.down
+            ? down()
+            : Ok([...platform.hosts.values()])
+        ),
+      reboot: (host, operation) =>
+        process.deliver(platform.reboot(host, operation)),
+    };
+  }
+
+  /** Changes a host's state in the platform's list. */
+  list(name: string, state: ListedHost["state"]): void {
+    const listed = this.platform.hosts.get(name);
+    if (listed === undefined || listed.state === state) return;
+    this.platform.hosts.set(name, { ...listed, state });
+    if (state === "live") this.#unlistedAt.delete(name);
+    else this.#unlistedAt.set(name, this.clock.now());
+  }
+
+  #unlistedBefore(ms: number): string[] {
+    const latest = this.clock.now() - ms;
+    return [...this.#unlistedAt].filter(([, at]) => at <= latest)
+      .map(([name]) => name);
+  }
+
+  /** Shows a commit to the oracle. */
+  noteCommit(
+    tx: Parameters<MemoryPlatform["commit"]>[0],
+    before: ReadonlyMap<
+      string,
+      { key: string; version: number; value: unknown }
+    >,
+  ): void {
+    const changed = tx.writes.some(({ key }) =>
+      key.startsWith("host/") &&
+      before.get(key)?.version !== this.platform.rows.get(key)?.version
+    );
+    if (!changed) return;
+    const unavailable = new Set(this.endpoints.unhealthy);
+    const free = new Set([...this.#unlistedBefore(0), ...unavailable]);
+    for (const name of this.#unlistedBefore(maxDecisionAgeMs)) {
+      unavailable.add(name);
+    }
+    this.oracle.committed(tx, before, budgets, unavailable, free);
+  }
+
+  #listed(name: string, index: number): ListedHost {
+    return {
+      name,
+      role: "worker",
+      state: "live",
+      zone: index % 2 === 0 ? "a" : "b",
+      rack: `r${index}`,
+      address: `http://${name}`,
+      pool: index < 3 ? "p1" : "p2",
+      slots: 2,
+      connections: 16,
+    };
+  }
+}
