--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,10 +2,14 @@
 import process from "node:process";
 import { describeError } from "../src/errors/index.ts";
 import { stopPrograms } from "./processes.ts";
+import { rolloutBench } from "./rollout.ts";
+import { slopesBench } from "./slopes.ts";
 import { relayBench } from "./relay.ts";
 
 const benches: Readonly<Record<string, () => Promise<unknown>>> = {
   relay: relayBench,
+  rollout: rolloutBench,
+  slopes: slopesBench,
 };
 
 async function main(name: string | undefined): Promise<number> {
--- /dev/null
+++ b/bench/slopes.ts
@@ -0,0 +1,198 @@
+/**
+ * Cost of control per entry, with its slopes in hosts, pools, and entries:
+ * the state is built at each size, and the pure steps on it are timed.
+ */
+import process from "node:process";
+import { candidatesOf } from "../src/entry/index.ts";
+import {
+  applyFleetEvent,
+  emptyFleet,
+  epochSum,
+  type FleetState,
+  servingHosts,
+} from "../src/fleet/index.ts";
+import { type Host, ownerOf, type Registration } from "../src/hosts/index.ts";
+import { encodeFrame, type Heartbeat } from "../src/peers/index.ts";
+import { diffTables, Table, type VersionedRow } from "../src/table/index.ts";
+
+const hostSizes = [40, 400, 1_900, 3_800, 7_600];
+const poolSizes = [5, 16, 32, 64];
+const zones = 12;
+const entriesPerZone = 2;
+const classesPerPool = 3;
+const repeats = 20;
+
+interface SlopeRow {
+  readonly hosts: number;
+  readonly pools: number;
+  /** Heap of the fleet state in bytes. */
+  readonly heapBytes: number;
+  /** One changed host row applied, in µs. */
+  readonly hostUpdateUs: number;
+  /** Owners of all hosts computed, in µs. */
+  readonly ownersUs: number;
+  /** Epoch sum of a heartbeat, in µs. */
+  readonly epochSumUs: number;
+  readonly heartbeatBytes: number;
+  /** One edit as a delta on a link. */
+  readonly editDeltaBytes: number;
+  /** One edit's delta computed and applied, in µs. */
+  readonly editUs: number;
+  /** Rows of all hosts in one answer of the platform. */
+  readonly pollBytes: number;
+}
+
+function makeHost(i: number, pools: number): Host {
+  return {
+    name: `host-${i}`,
+    zone: `zone-${i % zones}`,
+    rack: `rack-${Math.floor(i / 4)}`,
+    address: `http://10.0.${Math.floor(i / 250)}.${i % 250}:8080`,
+    slots: 8,
+    connections: 64,
+    pool: `pool-${i % pools}`,
+    state: "serving",
+    epoch: 1,
+  };
+}
+
+function makeRegistrations(): Registration[] {
+  return Array.from({ length: zones }, (_, z) => ({
+    zone: `zone-${z}`,
+    entries: Array.from({ length: entriesPerZone }, (_, e) => ({
+      entry: `entry-${z}-${e}`,
+      incarnation: "1",
+      zone: `zone-${z}`,
+      peer: `10.1.${z}.${e}:8082`,
+    })),
+  }));
+}
+
+function makeTable(pools: number): Table {
+  const rows: VersionedRow[] = [];
+  for (let p = 0; p < pools; p++) {
+    const name = `pool-${p}`;
+    rows.push({
+      version: 1,
+      row: { kind: "pool", name, budget: 1, spare: false },
+    });
+    for (let c = 0; c < classesPerPool; c++) {
+      rows.push({
+        version: 1,
+        row: {
+          kind: "class",
+          name: `class-${p}-${c}`,
+          pool: name,
+          urgency: "urgent",
+          repeat: "repeatable",
+          weight: 1,
+          price: 1,
+          rate: 0,
+          concurrency: 0,
+          queue: 100,
+          deadlineMs: 6_400,
+          runMs: 10_000,
+        },
+      });
+    }
+  }
+  return Table.of(1, rows);
+}
+
+function buildFleet(hosts: number, pools: number): FleetState {
+  const rows = Array.from({ length: hosts }, (_, i) => makeHost(i, pools));
+  const known = applyFleetEvent(emptyFleet, { kind: "hosts", rows }).state;
+  const registered = applyFleetEvent(known, {
+    kind: "registrations",
+    rows: makeRegistrations(),
+  }).state;
+  const table = makeTable(pools);
+  return applyFleetEvent(registered, { kind: "table", table }).state;
+}
+
+function heapUsed(): number {
+  (globalThis as { gc?: () => void }).gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+/** Median time of a step in µs. */
+function timeUs(step: (i: number) => void): number {
+  const times: number[] = [];
+  for (let i = 0; i < repeats; i++) {
+    const startedAt = performance.now();
+    step(i);
+    times.push((performance.now() - startedAt) * 1000);
+  }
+  return Math.round(times.sort((a, b) => a - b)[repeats / 2]);
+}
+
+function heartbeatOf(fleet: FleetState, pools: number): Heartbeat {
+  const loads: Heartbeat["loads"] = {};
+  for (let p = 0; p < pools; p++) {
+    loads[`pool-${p}`] = { slots: 64, free: 12, queued: 3, urgent: 1 };
+  }
+  const owned = Math.ceil(fleet.hosts.size / (zones * entriesPerZone));
+  const busy: Heartbeat["busy"] = {};
+  for (let i = 0; i < owned; i++) busy[`host-${i}`] = 5;
+  return {
+    kind: "heartbeat",
+    tableVersion: fleet.table.version,
+    epochSum: epochSum(fleet),
+    loads,
+    busy,
+    shuttingDown: false,
+  };
+}
+
+function editOnce(table: Table, i: number): void {
+  const next = new Table(table.version + 1, new Map(table.rows));
+  const key = `class/class-0-${i % classesPerPool}`;
+  const row = next.rows.get(key);
+  if (row === undefined) throw new Error(`no row ${key}`);
+  const rows = new Map(next.rows).set(key, { ...row, version: 2 });
+  diffTables(table, new Table(2, rows));
+}
+
+function measure(hosts: number, pools: number): SlopeRow {
+  const before = heapUsed();
+  const fleet = buildFleet(hosts, pools);
+  const heapBytes = heapUsed() - before;
+  const self = { entry: "entry-0-0", incarnation: "1" };
+  const changed = new Map(fleet.table.rows);
+  const first = changed.get("class/class-0-0");
+  if (first === undefined) throw new Error("the table is empty");
+  changed.set("class/class-0-0", { ...first, version: 2 });
+  const delta = diffTables(fleet.table, new Table(2, changed));
+  return {
+    hosts,
+    pools,
+    heapBytes,
+    hostUpdateUs: timeUs((i) => {
+      const row = { ...makeHost(0, pools), epoch: 2 + i };
+      applyFleetEvent(fleet, { kind: "hosts", rows: [row] });
+    }),
+    ownersUs: timeUs(() => {
+      for (const host of servingHosts(fleet)) {
+        const entries = candidatesOf(fleet, host.zone, self, []);
+        ownerOf(host.name, host.zone, entries);
+      }
+    }),
+    epochSumUs: timeUs(() => epochSum(fleet)),
+    heartbeatBytes: encodeFrame(heartbeatOf(fleet, pools)).length,
+    editDeltaBytes: encodeFrame({ kind: "table", delta }).length,
+    editUs: timeUs((i) => editOnce(fleet.table, i)),
+    pollBytes: JSON.stringify([...fleet.hosts.values()]).length,
+  };
+}
+
+/** Runs the benchmark. */
+export function slopesBench(): Promise<unknown> {
+  measure(hostSizes[0], poolSizes[0]);
+  const rows = [
+    ...hostSizes.map((hosts) => measure(hosts, 64)),
+    ...poolSizes.map((pools) => measure(1_900, pools)),
+  ];
+  for (const row of rows) process.stdout.write(`${JSON.stringify(row)}\n`);
+  const bare = process.memoryUsage().rss;
+  return Promise.resolve({ rows, residentBytes: bare });
+}
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -23,6 +23,8 @@
   soak: "fakes/soak_main.ts",
   fuzz: "test/fuzz/run.ts",
   proof: "test/fuzz/proof.ts",
+  embed: "examples/embed.ts",
+  steps: "features/steps.ts",
   bench: "bench/main.ts",
   bare_relay: "bench/bare_relay.ts",
   quick_endpoint: "bench/quick_endpoint.ts",
@@ -41,6 +43,7 @@
     outdir: outDir,
     define: { "globalThis.briartideVersion": JSON.stringify(version) },
     ...bundleOptions,
+    external: ["@cucumber/cucumber"],
   });
 }
 
--- a/src/endpoint/endpoint_client.ts
+++ b/src/endpoint/endpoint_client.ts
@@ -95,6 +95,8 @@
         bodyTimeout: bodyPauseMs,
         signal,
       });
+      // A body that is dropped or breaks later must not end the process.
+      res.body.on("error", () => {});
       if (res.headers[headerNames.requestId] !== req.attempt) {
         res.body.destroy();
         this.#retire(host.address, pool);
--- a/src/jobs/job_recovery.ts
+++ b/src/jobs/job_recovery.ts
@@ -23,7 +23,7 @@
 
 /** Finds and takes over orphaned jobs. */
 export class JobRecovery {
-  #asking = new Set<string>();
+  #recovering = new Set<string>();
 
   constructor(private readonly parts: JobRecoveryParts) {}
 
@@ -33,8 +33,7 @@
     if (open.err) return 0;
     const orphans = open.val.filter((job) => this.#isOrphan(job));
     for (const job of orphans.slice(0, maxTakenOver)) {
-      if (job.value.state === "claimed") await this.parts.service.takeOver(job);
-      else this.#settleStarted(job);
+      this.#recover(job);
     }
     return orphans.length;
   }
@@ -46,20 +45,25 @@
     return this.parts.isGone(claimer);
   }
 
-  /** Asks the endpoint about a run that an absent entry had started. */
-  async #settleStarted(job: StoredJob): Promise<void> {
-    const { id } = job.value;
-    if (this.#asking.has(id)) return;
-    this.#asking.add(id);
+  async #recover(job: StoredJob): Promise<void> {
+    const { id, state } = job.value;
+    if (this.#recovering.has(id)) return;
+    this.#recovering.add(id);
     try {
-      const result = await this.parts.runner.askEndpoint(job.value);
-      const note = "the claimer is gone and the endpoint has no trace";
-      const next = result === undefined
-        ? { ...job.value, state: "unknown" as const, note }
-        : finishJob(job.value, result);
-      await this.parts.store.replace(job, next, this.parts.ids.next());
+      if (state === "claimed") await this.parts.service.takeOver(job);
+      else await this.#settleStarted(job);
     } finally {
-      this.#asking.delete(id);
+      this.#recovering.delete(id);
     }
   }
+
+  /** Asks the endpoint about a run that an absent entry had started. */
+  async #settleStarted(job: StoredJob): Promise<void> {
+    const result = await this.parts.runner.askEndpoint(job.value);
+    const note = "the claimer is gone and the endpoint has no trace";
+    const next = result === undefined
+      ? { ...job.value, state: "unknown" as const, note }
+      : finishJob(job.value, result);
+    await this.parts.store.replace(job, next, this.parts.ids.next());
+  }
 }
--- a/src/jobs/job_service.ts
+++ b/src/jobs/job_service.ts
@@ -71,7 +71,7 @@
     const write = await this.parts.store.create(job, operation);
     if (write.ok) return this.#accept(job, write.val);
     if (write.val.code === codes.commitUnknown) {
-      this.#resolveLater(job, operation);
+      this.#beginOnce(() => this.parts.store.create(job, operation));
       return fail(codes.recordUnknown, write.val.message);
     }
     return fail(codes.recordUnavailable, write.val.message);
@@ -81,8 +81,9 @@
   async takeOver(job: StoredJob): Promise<void> {
     const operation = this.parts.ids.next();
     const claimed = claimJob(job.value, this.parts.claimer);
-    const write = await this.parts.store.replace(job, claimed, operation);
-    if (write.ok && write.val.kind === "written") this.#begin(write.val.job);
+    await this.#beginOnce(() =>
+      this.parts.store.replace(job, claimed, operation)
+    );
   }
 
   /** Whether this entry works on a job. */
@@ -112,14 +113,20 @@
     end.finally(() => this.#ends.delete(id));
   }
 
-  /** Learns whether a creation took effect, and runs the job if so. */
-  async #resolveLater(job: Job, operation: string): Promise<void> {
+  /**
+   * Repeats a claim under its operation id until its outcome is known, and
+   * runs the job if the claim took effect: nobody else would.
+   */
+  async #beginOnce(
+    claim: () => Promise<Result<JobWrite, Failure>>,
+  ): Promise<void> {
     for (;;) {
+      const write = await claim();
+      if (write.ok) {
+        if (write.val.kind === "written") this.#begin(write.val.job);
+        return;
+      }
       await delay(this.parts.clock, pollMs);
-      const write = await this.parts.store.create(job, operation);
-      if (write.err) continue;
-      if (write.val.kind === "written") this.#begin(write.val.job);
-      return;
     }
   }
 
@@ -201,9 +208,24 @@
       (job) => ({ ...claimJob(job, this.parts.claimer), failures: 0 }),
     );
     if (resumed.ok) this.#begin(resumed.val);
+    else if (resumed.val.code === codes.commitUnknown) {
+      this.#beginResumed(id);
+    }
     return resumed;
   }
 
+  /** Runs a resumed job whose claim took effect without an answer. */
+  async #beginResumed(id: string): Promise<void> {
+    const found = await this.find(id);
+    if (found.err) {
+      await delay(this.parts.clock, pollMs);
+      return await this.#beginResumed(id);
+    }
+    const { state, claimer } = found.val.value;
+    const own = claimer.incarnation === this.parts.claimer.incarnation;
+    if (state === "claimed" && own) this.#begin(found.val);
+  }
+
   /** Every job. */
   async list(): Promise<Result<readonly StoredJob[], Failure>> {
     return await this.parts.store.all();
--- /dev/null
+++ b/test/endpoint/endpoint_client_test.ts
@@ -0,0 +1,109 @@
+import assert from "node:assert/strict";
+import { createServer, type ServerResponse } from "node:http";
+import { createServer as createTcpServer } from "node:net";
+import { after, before, describe, it } from "node:test";
+import { listen } from "../../fakes/json_http.ts";
+import { HttpEndpointClient } from "../../src/endpoint/index.ts";
+import type { Host } from "../../src/hosts/index.ts";
+import type { EndpointRequest } from "../../src/pipeline/index.ts";
+
+const whole = "a whole answer";
+
+function hostAt(address: string): Host {
+  return {
+    name: "h1",
+    zone: "z",
+    rack: "r",
+    address: `http://${address}`,
+    slots: 2,
+    connections: 8,
+    pool: "p",
+    state: "serving",
+    epoch: 1,
+  };
+}
+
+function requestOf(path: string, runMs = 5_000): EndpointRequest {
+  return {
+    attempt: "attempt-1",
+    method: "POST",
+    path,
+    headers: { "briartide-request-id": "attempt-1" },
+    body: new TextEncoder().encode("x"),
+    runMs,
+  };
+}
+
+function answer(res: ServerResponse, id: string, length = whole.length) {
+  res.writeHead(200, {
+    "briartide-request-id": id,
+    "content-length": length,
+  });
+  res.write(whole);
+}
+
+describe("endpoint client", () => {
+  const client = new HttpEndpointClient();
+  const never = new AbortController().signal;
+  const server = createServer((req, res) => {
+    if (req.url === "/good") answer(res, "attempt-1");
+    if (req.url === "/crossed") answer(res, "attempt-2");
+    if (req.url === "/cut") {
+      answer(res, "attempt-1", whole.length * 2);
+      res.destroy();
+    }
+    if (req.url === "/dropped") res.destroy();
+    if (req.url !== "/silent") res.end();
+  });
+  let host = hostAt("");
+
+  before(async () => {
+    host = hostAt(await listen(server));
+  });
+
+  after(async () => {
+    await client.close();
+    server.closeAllConnections();
+    server.close();
+  });
+
+  const codeOf = async (path: string, at = host, runMs?: number) => {
+    const outcome = await client.send(at, requestOf(path, runMs), never);
+    return outcome.kind === "failed" ? outcome.failure.code.name : "answer";
+  };
+
+  describe("with an endpoint that answers", () => {
+    it("returns the whole answer to the own request", async () => {
+      const outcome = await client.send(host, requestOf("/good"), never);
+      assert.ok(outcome.kind === "answer");
+      assert.ok(outcome.body instanceof Uint8Array);
+      assert.equal(new TextDecoder().decode(outcome.body), whole);
+    });
+
+    it("refuses an answer with another request's id", async () => {
+      assert.equal(await codeOf("/crossed"), "wrong-answer");
+    });
+
+    it("never takes a cut answer for a whole one", async () => {
+      const code = await codeOf("/cut");
+      assert.ok(["truncated", "connection-lost"].includes(code), code);
+    });
+  });
+
+  describe("with an endpoint that fails", () => {
+    it("says unknown when the connection breaks after the send", async () => {
+      assert.equal(await codeOf("/dropped"), "connection-lost");
+    });
+
+    it("says unknown when the run time is over", async () => {
+      assert.equal(await codeOf("/silent", host, 300), "run-timeout");
+    });
+
+    it("says not-run when nothing listens", async () => {
+      const spare = createTcpServer();
+      const address = await listen(spare);
+      spare.close();
+      assert.equal(await codeOf("/good", hostAt(address)), "connect-failed");
+    });
+  });
+});
--- /dev/null
+++ b/test/fuzz/describe_fuzz.ts
@@ -0,0 +1,45 @@
+/** The fuzzing of one seed as a test; the seeds run in parallel processes. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { fuzz } from "./simulate.ts";
+
+const sequences = 500;
+
+/** States that every seed has to reach, or it tests nothing. */
+const required = [
+  "kill",
+  "pause",
+  "cut",
+  "cut-zone",
+  "lost answer",
+  "platform",
+  "move",
+  "wave",
+  "reboot",
+  "stale table sent",
+  "isolate-through-move",
+  "pause-through-move",
+  "drain allowed",
+  "drain budget-exceeded",
+  "process was paused; sending is blocked",
+  "host ejected",
+  "job done",
+  "job unknown",
+  "request ok",
+  "request deadline",
+  "request peer-lost",
+];
+
+/** Defines the test of one seed. */
+export function describeFuzz(seed: number): void {
+  describe("several entries under faults", () => {
+    describe(`seed ${seed}`, () => {
+      it(`keeps every promise in ${sequences} sequences`, async () => {
+        const report = await fuzz(seed, sequences);
+        assert.deepEqual(report.faults ?? [], [], JSON.stringify(report.steps));
+        const missed = required.filter((what) => !report.reached.has(what));
+        assert.deepEqual(missed, [], "never reached");
+      });
+    });
+  });
+}
--- /dev/null
+++ b/test/fuzz/proof.ts
@@ -0,0 +1,33 @@
+/**
+ * `npm run proof`: switches off one mechanism at a time and shows the
+ * shortest sequence that then breaks a promise.
+ */
+import process from "node:process";
+import { parseArgs } from "node:util";
+import { mutations } from "./mutations.ts";
+import { fuzz } from "./simulate.ts";
+
+async function main(): Promise<number> {
+  const { values } = parseArgs({
+    options: {
+      seed: { type: "string", default: "1" },
+      runs: { type: "string", default: "300" },
+    },
+  });
+  const unnoticed: string[] = [];
+  for (const { name, mechanisms } of mutations) {
+    const { seed, runs } = values;
+    const report = await fuzz(Number(seed), Number(runs), mechanisms);
+    if (report.faults === undefined) {
+      unnoticed.push(name);
+      process.stdout.write(`UNNOTICED  without ${name}\n`);
+      continue;
+    }
+    process.stdout.write(`noticed    without ${name}: ${report.faults[0]}\n`);
+    process.stdout.write(`  ${JSON.stringify(report.steps)}\n`);
+  }
+  process.stdout.write(`${JSON.stringify({ ...values, unnoticed })}\n`);
+  return 0;
+}
+
+main().then((code) => process.exit(code));
--- /dev/null
+++ b/test/fuzz/seed_2_test.ts
@@ -0,0 +1,3 @@
+import { describeFuzz } from "./describe_fuzz.ts";
+
+describeFuzz(2);
--- /dev/null
+++ b/test/pipeline/scheduler_test.ts
@@ -0,0 +1,177 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { seededRandom } from "../../fakes/random.ts";
+import type { Host } from "../../src/hosts/index.ts";
+import {
+  RetryBudget,
+  Scheduler,
+  type Ticket,
+} from "../../src/pipeline/index.ts";
+import type { ClassRow } from "../../src/table/index.ts";
+import { VirtualClock } from "../fuzz/virtual_clock.ts";
+
+function classRow(name: string, change: Partial<ClassRow> = {}): ClassRow {
+  return {
+    kind: "class",
+    name,
+    pool: "p",
+    urgency: "patient",
+    repeat: "repeatable",
+    weight: 1,
+    price: 0,
+    rate: 0,
+    concurrency: 0,
+    queue: 10_000,
+    deadlineMs: 0,
+    runMs: 1_000,
+    ...change,
+  };
+}
+
+function hostOf(name: string): Host {
+  return {
+    name,
+    zone: "z",
+    rack: "r",
+    address: `http://${name}`,
+    slots: 2,
+    connections: 8,
+    pool: "p",
+    state: "serving",
+    epoch: 1,
+  };
+}
+
+class Bench {
+  readonly clock = new VirtualClock();
+  readonly scheduler = new Scheduler(this.clock, seededRandom(1));
+  readonly granted: { id: string; host: string; row: ClassRow }[] = [];
+  readonly refused: string[] = [];
+  #next = 0;
+
+  ask(row: ClassRow, startBy?: number): string {
+    const id = `t${++this.#next}`;
+    const ticket: Ticket = {
+      id,
+      class: row,
+      startBy,
+      avoid: [],
+      granted: (host) => this.granted.push({ id, host: host.name, row }),
+      refused: (code) => this.refused.push(code.name),
+    };
+    this.scheduler.acquire(ticket);
+    return id;
+  }
+
+  /** Grants of each class while slots are freed one by one. */
+  shares(steps: number): Map<string, number> {
+    const counts = new Map<string, number>();
+    for (let i = 0; i < steps; i++) {
+      const { host } = this.granted[this.granted.length - 1];
+      this.scheduler.release(host, "success");
+      const { name } = this.granted[this.granted.length - 1].row;
+      counts.set(name, (counts.get(name) ?? 0) + 1);
+    }
+    return counts;
+  }
+}
+
+describe("scheduler", () => {
+  describe("slots", () => {
+    it("never grants more than a host has", () => {
+      const bench = new Bench();
+      bench.scheduler.setHosts([hostOf("h1"), hostOf("h2")]);
+      for (let i = 0; i < 9; i++) bench.ask(classRow("a"));
+      assert.equal(bench.granted.length, 4);
+    });
+
+    it("reserves a gained host's slots until they are freed", () => {
+      const bench = new Bench();
+      bench.scheduler.setHosts([hostOf("h1")], ["h1"]);
+      bench.ask(classRow("a"));
+      assert.equal(bench.granted.length, 0);
+      bench.scheduler.unreserve("h1", 2);
+      assert.equal(bench.granted.length, 1);
+    });
+
+    it("sends waiting tickets elsewhere when the last host goes", () => {
+      const bench = new Bench();
+      bench.scheduler.setHosts([hostOf("h1")]);
+      for (let i = 0; i < 3; i++) bench.ask(classRow("a"));
+      bench.scheduler.setHosts([]);
+      assert.deepEqual(bench.refused, ["no-host"]);
+      assert.equal(bench.scheduler.inFlight("h1"), 2);
+    });
+  });
+
+  describe("order", () => {
+    it("shares by weight within 5%", () => {
+      const bench = new Bench();
+      bench.scheduler.setHosts([hostOf("h1")]);
+      const heavy = classRow("heavy", { weight: 3 });
+      const light = classRow("light", { weight: 1 });
+      for (let i = 0; i < 900; i++) {
+        bench.ask(heavy);
+        bench.ask(light);
+      }
+      const share = (bench.shares(400).get("heavy") ?? 0) / 400;
+      assert.ok(Math.abs(share - 0.75) <= 0.05, String(share));
+    });
+
+    it("puts urgent work first and never starves patient work", () => {
+      const bench = new Bench();
+      bench.scheduler.setHosts([hostOf("h1")]);
+      const urgent = classRow("urgent", { urgency: "urgent" });
+      const patient = classRow("patient");
+      for (let i = 0; i < 300; i++) {
+        bench.ask(patient);
+        bench.ask(urgent);
+      }
+      const counts = bench.shares(200);
+      const share = (counts.get("patient") ?? 0) / 200;
+      assert.ok(share > 0 && share <= 0.1, String(share));
+    });
+  });
+
+  describe("deadlines", () => {
+    it("refuses what can no longer start in time", async () => {
+      const bench = new Bench();
+      bench.scheduler.setHosts([hostOf("h1")]);
+      for (let i = 0; i < 3; i++) bench.ask(classRow("a"), 100);
+      await bench.clock.advance(150);
+      bench.scheduler.sweep();
+      assert.deepEqual(bench.refused, ["deadline"]);
+    });
+  });
+
+  describe("health", () => {
+    it("starves a host that fails everything", () => {
+      const bench = new Bench();
+      bench.scheduler.setHosts([hostOf("bad"), hostOf("good")]);
+      let bad = 0;
+      for (let i = 0; i < 400; i++) {
+        bench.ask(classRow("a"));
+        const { host } = bench.granted[bench.granted.length - 1];
+        if (host === "bad") bad++;
+        bench.scheduler.release(host, host === "bad" ? "failure" : "success");
+      }
+      assert.ok(bad <= 6, `${bad} of 400`);
+      assert.deepEqual(bench.scheduler.suspects().map((h) => h.name), ["bad"]);
+    });
+  });
+});
+
+describe("retry budget", () => {
+  it("allows retries up to a tenth of the successes", () => {
+    let budget = RetryBudget.full;
+    let retries = 0;
+    while (budget.allows) budget = budget.spend();
+    for (let i = 0; i < 1_000; i++) {
+      budget = budget.earn();
+      if (!budget.allows) continue;
+      budget = budget.spend();
+      retries++;
+    }
+    assert.ok(retries <= 100, String(retries));
+  });
+});
