--- a/src/caller/receive.ts
+++ b/src/caller/receive.ts
@@ -148,94 +148,80 @@
     url: string,
   ): Promise<void> {
     const { parts } = this;
-    const id = parts.ids.next();
-    const startedAt = parts.clock.now();
-    let className = "";
-    const end = (code: ResultCode, attempts: number, host?: string) => {
-      parts.ended({
-        requestId: id,
-        class: className,
-        code,
-        ms: parts.clock.now() - startedAt,
-        attempts,
-        host,
-      });
-    };
-    const refuse = (failure: Failure, attempts = 0) => {
-      if (!req.complete) res.setHeader("connection", "close");
-      replyCode(res, failure, id);
-      end(failure.code, attempts);
-    };
+    const exchange = new Exchange(parts, req, res);
     const unready = parts.unready();
-    if (unready !== undefined) {
-      return refuse({ code: unready, message: unready.meaning });
-    }
+    if (unready !== undefined) return exchange.refuse(unready);
     const table = parts.table();
     const classified = classify(table, req.method ?? "", url, req.headers);
-    if (classified.err) return refuse(classified.val);
+    if (classified.err) return exchange.fail(classified.val);
     const { row } = classified.val;
-    className = row.name;
+    exchange.className = row.name;
     const limit = parts.admission.admit(row, parts.liveEntries());
-    if (limit !== undefined) {
-      return refuse({ code: limit, message: limit.meaning });
-    }
+    if (limit !== undefined) return exchange.refuse(limit);
     try {
-      const body = await readBody(req, parts.limits.bodyBytes);
-      if (body.err) return refuse(body.val);
-      const abort = new AbortController();
-      res.once("close", () => {
-        if (!res.writableFinished) abort.abort();
-      });
-      const request = toRequest(
-        id,
-        table.version,
-        req.method ?? "",
-        classified.val,
-        body.val,
-        startedAt,
-        abort.signal,
-      );
-      if (row.repeat === "once" || classified.val.async) {
-        return await this.#record(res, request, classified.val.async, end);
-      }
-      const { outcome, attempts, host } = await parts.executor.execute(request);
-      const code = outcomeCode(outcome);
-      if (outcome.kind === "failed") replyCode(res, outcome.failure, id);
-      else replyAnswer(res, outcome, code, id);
-      end(code, attempts, host);
+      await this.#runAdmitted(exchange, classified.val, table.version);
     } catch (err) {
-      refuse({ code: codes.internal, message: describeError(err) });
+      exchange.fail({ code: codes.internal, message: describeError(err) });
     } finally {
       parts.admission.finish(row);
     }
   }
 
+  async #runAdmitted(
+    exchange: Exchange,
+    classified: Classified,
+    tableVersion: number,
+  ): Promise<void> {
+    const { parts } = this;
+    const { req, res, id } = exchange;
+    const body = await readBody(req, parts.limits.bodyBytes);
+    if (body.err) return exchange.fail(body.val);
+    const abort = new AbortController();
+    res.once("close", () => {
+      if (!res.writableFinished) abort.abort();
+    });
+    const request = toRequest(
+      id,
+      tableVersion,
+      req.method ?? "",
+      classified,
+      body.val,
+      exchange.startedAt,
+      abort.signal,
+    );
+    const { row, async } = classified;
+    if (row.repeat === "once" || async) {
+      return await this.#record(exchange, request, async);
+    }
+    const { outcome, attempts, host } = await parts.executor.execute(request);
+    const code = outcomeCode(outcome);
+    if (outcome.kind === "failed") replyCode(res, outcome.failure, id);
+    else replyAnswer(res, outcome, code, id);
+    exchange.end(code, attempts, host);
+  }
+
+  /** Records a job, and waits for its end unless the caller polls. */
   async #record(
-    res: ServerResponse,
+    exchange: Exchange,
     req: CallerRequest,
     async: boolean,
-    end: (code: ResultCode, attempts: number) => void,
   ): Promise<void> {
+    const { res } = exchange;
     const submitted = await this.parts.jobs.submit(req);
-    if (submitted.err) {
-      replyCode(res, submitted.val, req.id);
-      return end(submitted.val.code, 0);
-    }
-    const { id } = submitted.val.value;
+    if (submitted.err) return exchange.fail(submitted.val);
+    const { id, state } = submitted.val.value;
     if (async) {
       const failure = { code: codes.accepted, message: "recorded" };
-      const location = `/jobs/${id}`;
-      const { state } = submitted.val.value;
-      replyCode(res, failure, req.id, { id, state, location });
-      return end(codes.accepted, 0);
+      replyCode(res, failure, req.id, { id, state, location: `/jobs/${id}` });
+      return exchange.end(codes.accepted, 0);
     }
     const job = await this.parts.jobs.wait(id, holdMs, req.signal);
     if (job.err) {
       const code = codes.unsettled;
       replyCode(res, { code, message: job.val.message }, req.id, { id });
-      return end(code, 0);
+      return exchange.end(code, 0);
     }
-    end(await this.#replyJob(res, job.val, req.id), 1);
+    exchange.end(await this.#replyJob(res, job.val, req.id), 1);
   }
 
   async #job(
@@ -304,6 +290,48 @@
   }
 }
 
+/** One request on the caller port, from its receipt to its one end. */
+class Exchange {
+  readonly id: string;
+  /** Monotonic time of the receipt in ms. */
+  readonly startedAt: number;
+  className = "";
+
+  constructor(
+    private readonly parts: ReceiverParts,
+    readonly req: IncomingMessage,
+    readonly res: ServerResponse,
+  ) {
+    this.id = parts.ids.next();
+    this.startedAt = parts.clock.now();
+  }
+
+  /** Refuses with a code's own meaning. */
+  refuse(code: ResultCode): void {
+    this.fail({ code, message: code.meaning });
+  }
+
+  /** Replies with a failure and ends. */
+  fail(failure: Failure): void {
+    const sendsStill = !this.req.complete && !this.res.headersSent;
+    if (sendsStill) this.res.setHeader("connection", "close");
+    replyCode(this.res, failure, this.id);
+    this.end(failure.code, 0);
+  }
+
+  /** Reports the end. */
+  end(code: ResultCode, attempts: number, host?: string): void {
+    this.parts.ended({
+      requestId: this.id,
+      class: this.className,
+      code,
+      ms: this.parts.clock.now() - this.startedAt,
+      attempts,
+      host,
+    });
+  }
+}
+
 const stateCodes = {
   claimed: codes.stillRunning,
   started: codes.stillRunning,
