Split wave steps from the controller; test the bounds of the caller port

Eight tests of the caller port pass (method, class, body, headers, deadline, slow caller, bytes that are no request).

--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -377,9 +377,11 @@
         break;
       case "hosts-request": {
         const { hosts, unlisted } = this.fleet.state;
-        const rows = [...hosts.values()];
-        const message = { kind: "hosts", rows, unlisted: [...unlisted] };
-        this.network.send(entry, message as Message);
+        this.network.send(entry, {
+          kind: "hosts",
+          rows: [...hosts.values()],
+          unlisted: [...unlisted],
+        });
         break;
       }
       case "confirm":
--- a/src/maintenance/controller.ts
+++ b/src/maintenance/controller.ts
@@ -5,14 +5,12 @@
  * Every step is a transaction that checks the row it changes, the lease's
  * term, and, where entries had to confirm, the zone's registration.
  */
-import { auditWrite } from "../audit/index.ts";
 import type { Clock, IdSource } from "../clock/index.ts";
 import type { EndpointClient } from "../endpoint/index.ts";
 import {
   finishDrain,
   type Host,
   hostKey,
-  type HostMap,
   hostPrefix,
   hostSchema,
   markLeaving,
@@ -21,29 +19,19 @@
   registrationPrefix,
   registrationSchema,
   removeEntry,
-  returnToService,
-  startMaintenance,
 } from "../hosts/index.ts";
 import {
   type Check,
   decodeRows,
   type ListedHost,
   type Platform,
-  type Row,
   type Stored,
-  type Write,
 } from "../platform/index.ts";
 import type { Table } from "../table/index.ts";
-import { drainHost, type DrainParts } from "./drain.ts";
-import {
-  reviewWave,
-  setStep,
-  type Wave,
-  type WaveAction,
-  waveActions,
-  wavePrefix,
-  waveSchema,
-} from "./wave.ts";
+import type { DrainParts } from "./drain.ts";
+import { type FleetView, HostRows } from "./host_rows.ts";
+import { type Wave, wavePrefix, waveSchema } from "./wave.ts";
+import { WaveDriver } from "./wave_driver.ts";
 
 /** Asks entries for the confirmation of a host's epoch. */
 export interface Confirmer {
@@ -79,22 +67,18 @@
   readonly endpointIdleProbe: boolean;
 }
 
-/** Everything that one round decides on. */
-interface Fleet {
-  readonly hosts: readonly Stored<Host>[];
-  readonly byName: HostMap;
-  readonly registrations: readonly Row[];
-  readonly waves: readonly Stored<Wave>[];
-  readonly listed: ReadonlyMap<string, ListedHost>;
-  readonly term: Check;
-}
-
 /** Carries host changes and waves forward. */
 export class Controller {
   /** Monotonic time in ms since which an entry is missing from the list. */
   #missingSince = new Map<string, number>();
 
-  constructor(private readonly parts: ControllerParts) {}
+  readonly #rows: HostRows;
+  readonly #waves: WaveDriver;
+
+  constructor(private readonly parts: ControllerParts) {
+    this.#rows = new HostRows(parts);
+    this.#waves = new WaveDriver({ ...parts, rows: this.#rows });
+  }
 
   /**
    * Does one round; returns whether changes are in progress, so that the next
@@ -109,11 +93,11 @@
     const draining = fleet.hosts.filter((h) => h.value.state === "draining");
     await Promise.all(draining.map((host) => this.#advanceDrain(fleet, host)));
     const open = fleet.waves.filter((w) => isOpen(w.value));
-    for (const wave of open) await this.#advanceWave(fleet, wave);
+    for (const wave of open) await this.#waves.advance(fleet, wave);
     return draining.length > 0 || open.some((w) => isActive(w.value));
   }
 
-  async #read(term: Check): Promise<Fleet | undefined> {
+  async #read(term: Check): Promise<FleetView | undefined> {
     const { platform } = this.parts;
     const [rows, listed] = await Promise.all([
       platform.table.read({
@@ -136,7 +120,7 @@
   }
 
   /** Adds new hosts of the list and marks those that leave. */
-  async #adoptListed(fleet: Fleet): Promise<void> {
+  async #adoptListed(fleet: FleetView): Promise<void> {
     const changes: Promise<unknown>[] = [];
     for (const listed of fleet.listed.values()) {
       if (listed.role !== "worker") continue;
@@ -150,7 +134,7 @@
     await Promise.all(changes);
   }
 
-  async #addHost(fleet: Fleet, listed: ListedHost): Promise<void> {
+  async #addHost(fleet: FleetView, listed: ListedHost): Promise<void> {
     const pool = this.#poolFor(listed);
     if (pool === undefined) return;
     const host: Host = {
@@ -166,7 +150,7 @@
     };
     const key = hostKey(host.name);
     const before = { key, version: 0, value: undefined };
-    await this.#commitHost(fleet, before, host, "host.add", []);
+    await this.#rows.commitHost(fleet, before, host, "host.add", []);
   }
 
   #poolFor(listed: ListedHost): string | undefined {
@@ -176,14 +160,14 @@
   }
 
   async #followList(
-    fleet: Fleet,
+    fleet: FleetView,
     host: Stored<Host>,
     listed: ListedHost,
   ): Promise<void> {
     const { state } = host.value;
     if (listed.state !== "live" && state !== "leaving" && state !== "out") {
       const next = markLeaving(host.value);
-      await this.#commitHost(fleet, host, next, "host.leaving", []);
+      await this.#rows.commitHost(fleet, host, next, "host.leaving", []);
     }
     if (listed.state === "live" && state === "leaving") {
       const health = await this.parts.endpoints.health(host.value);
@@ -195,12 +179,12 @@
         epoch: host.value.epoch + 1,
         cause: undefined,
       };
-      await this.#commitHost(fleet, host, next, "host.back", []);
+      await this.#rows.commitHost(fleet, host, next, "host.back", []);
     }
   }
 
   /** Removes the registrations of entries that left the list long ago. */
-  async #dropGoneEntries(fleet: Fleet): Promise<void> {
+  async #dropGoneEntries(fleet: FleetView): Promise<void> {
     const now = this.parts.clock.now();
     const rows = decodeRows(
       registrationSchema,
@@ -228,7 +212,7 @@
   }
 
   async #dropEntry(
-    fleet: Fleet,
+    fleet: FleetView,
     row: Stored<{ zone: string; entries: RegisteredEntry[] }>,
     entry: RegisteredEntry,
   ): Promise<void> {
@@ -239,7 +223,7 @@
       checks: [{ key: row.key, version: row.version }, fleet.term],
       writes: [
         { key: row.key, value: next },
-        this.#audit(
+        this.#rows.audit(
           "entry.drop",
           `entry ${entry.entry}`,
           row.value,
@@ -251,7 +235,7 @@
   }
 
   /** Finishes a drain that every registered entry has confirmed. */
-  async #advanceDrain(fleet: Fleet, host: Stored<Host>): Promise<void> {
+  async #advanceDrain(fleet: FleetView, host: Stored<Host>): Promise<void> {
     const key = registrationKey(host.value.zone);
     const row = fleet.registrations.find((r) => r.key === key);
     const entries = row === undefined
@@ -272,7 +256,7 @@
     const registration = { key, version: row?.version ?? 0 };
     const next = finishDrain(host.value);
     const action = next.state === "serving" ? "host.moved" : "host.drained";
-    await this.#commitHost(fleet, host, next, action, [registration]);
+    await this.#rows.commitHost(fleet, host, next, action, [registration]);
   }
 
   /**
@@ -285,199 +269,6 @@
     if (health.ok) return health.val.running === 0;
     return host.target === undefined;
   }
-
-  async #advanceWave(fleet: Fleet, stored: Stored<Wave>): Promise<void> {
-    let wave: Stored<Wave> = stored;
-    for (const action of waveActions(wave.value, fleet.byName)) {
-      wave = await this.#carryOut(fleet, wave, action);
-    }
-    const next = reviewWave(wave.value);
-    if (next !== wave.value) await this.#commitWave(fleet, wave, next);
-  }
-
-  async #commitWave(
-    fleet: Fleet,
-    from: Stored<Wave>,
-    to: Wave,
-  ): Promise<Stored<Wave>> {
-    const operation = this.parts.ids.next();
-    const writes: Write[] = [{ key: from.key, value: to }];
-    if (to.state !== from.value.state) {
-      writes.push(this.#audit(
-        "wave.state",
-        `wave ${to.id}`,
-        from.value.state,
-        { state: to.state, reason: to.reason },
-        operation,
-      ));
-    }
-    const outcome = await this.parts.platform.table.commit({
-      operation,
-      checks: [{ key: from.key, version: from.version }, fleet.term],
-      writes,
-    });
-    if (outcome.err || outcome.val.kind !== "committed") return from;
-    return { key: from.key, version: outcome.val.version, value: to };
-  }
-
-  async #carryOut(
-    fleet: Fleet,
-    wave: Stored<Wave>,
-    action: WaveAction,
-  ): Promise<Stored<Wave>> {
-    switch (action.kind) {
-      case "drain":
-        return await this.#drainFor(fleet, wave, action.host);
-      case "reboot":
-        return await this.#startReboot(fleet, wave, action.host);
-      case "check":
-        return await this.#checkBoot(fleet, wave, action.host, action.boot);
-    }
-  }
-
-  async #drainFor(
-    fleet: Fleet,
-    wave: Stored<Wave>,
-    name: string,
-  ): Promise<Stored<Wave>> {
-    const at = this.parts.clock.wall();
-    const next = setStep(wave.value, name, "draining", at);
-    const drained = await drainHost(this.parts, {
-      host: name,
-      cause: wave.value.id,
-      checks: [fleet.term, { key: wave.key, version: wave.version }],
-      writes: [{ key: wave.key, value: next }],
-    }, { who: this.parts.name, at, operation: this.parts.ids.next() });
-    if (drained.err) return wave;
-    this.parts.learned([drained.val.host]);
-    return { key: wave.key, version: drained.val.version, value: next };
-  }
-
-  async #startReboot(
-    fleet: Fleet,
-    wave: Stored<Wave>,
-    name: string,
-  ): Promise<Stored<Wave>> {
-    const host = fleet.hosts.find((h) => h.value.name === name);
-    if (host === undefined) return wave;
-    const health = await this.parts.endpoints.health(host.value);
-    const boot = health.ok ? health.val.boot : "";
-    const at = this.parts.clock.wall();
-    const next = setStep(wave.value, name, "rebooting", at, boot);
-    const out = startMaintenance(host.value);
-    const after = await this.#commitStep(
-      fleet,
-      wave,
-      next,
-      host,
-      out,
-      "host.out",
-    );
-    if (after !== wave) await this.#orderReboot(wave.value, out);
-    return after;
-  }
-
-  /** One operation id per host and epoch: repeated calls reboot once. */
-  async #orderReboot(wave: Wave, host: Host): Promise<void> {
-    const operation = `${wave.id}/${host.name}/${host.epoch}`;
-    await this.parts.platform.reboot(host.name, operation);
-  }
-
-  async #checkBoot(
-    fleet: Fleet,
-    wave: Stored<Wave>,
-    name: string,
-    boot: string,
-  ): Promise<Stored<Wave>> {
-    const host = fleet.hosts.find((h) => h.value.name === name);
-    const step = wave.value.hosts.find((s) => s.host === name);
-    if (host === undefined || step === undefined) return wave;
-    const now = this.parts.clock.wall();
-    const done = setStep(wave.value, name, "done", now);
-    const next = returnToService(host.value);
-    if (next.err) return await this.#commitWave(fleet, wave, done);
-    const health = await this.parts.endpoints.health(host.value);
-    const booted = health.ok && health.val.ok && health.val.boot !== boot;
-    if (booted) {
-      return await this.#commitStep(
-        fleet,
-        wave,
-        done,
-        host,
-        next.val,
-        "host.return",
-      );
-    }
-    if (now - step.since > this.parts.settings.bootMs) {
-      const failed = setStep(wave.value, name, "failed", now);
-      return await this.#commitWave(fleet, wave, failed);
-    }
-    await this.#orderReboot(wave.value, host.value);
-    return wave;
-  }
-
-  /** Commits a wave's step with the change of its host. */
-  async #commitStep(
-    fleet: Fleet,
-    wave: Stored<Wave>,
-    nextWave: Wave,
-    host: Stored<Host>,
-    nextHost: Host,
-    action: string,
-  ): Promise<Stored<Wave>> {
-    const version = await this.#commitHost(fleet, host, nextHost, action, [
-      { key: wave.key, version: wave.version },
-    ], [{ key: wave.key, value: nextWave }]);
-    if (version === undefined) return wave;
-    return { key: wave.key, version, value: nextWave };
-  }
-
-  /** Commits a host's row; returns the version, or undefined on a race. */
-  async #commitHost(
-    fleet: Fleet,
-    from: {
-      readonly key: string;
-      readonly version: number;
-      readonly value?: Host;
-    },
-    to: Host,
-    action: string,
-    checks: readonly Check[],
-    writes: readonly Write[] = [],
-  ): Promise<number | undefined> {
-    const operation = this.parts.ids.next();
-    const subject = `host ${to.name}`;
-    const outcome = await this.parts.platform.table.commit({
-      operation,
-      checks: [
-        { key: from.key, version: from.version },
-        fleet.term,
-        ...checks,
-      ],
-      writes: [
-        { key: from.key, value: to },
-        this.#audit(action, subject, from.value ?? null, to, operation),
-        ...writes,
-      ],
-    });
-    if (outcome.err || outcome.val.kind !== "committed") {
-      return undefined;
-    }
-    this.parts.learned([to]);
-    return outcome.val.version;
-  }
-
-  #audit(
-    action: string,
-    subject: string,
-    before: unknown,
-    after: unknown,
-    operation: string,
-  ): Write {
-    const at = this.parts.clock.wall();
-    const who = this.parts.name;
-    return auditWrite({ at, who, action, subject, before, after, operation });
-  }
 }
 
 function isOpen(wave: Wave): boolean {
--- /dev/null
+++ b/src/maintenance/wave_driver.ts
@@ -0,0 +1,178 @@
+/**
+ * Carries waves forward: each step of a wave is committed together with the
+ * change of its host.
+ */
+import { returnToService, startMaintenance } from "../hosts/index.ts";
+import type { Host } from "../hosts/index.ts";
+import type { Stored, Write } from "../platform/index.ts";
+import type { ControllerParts } from "./controller.ts";
+import { drainHost } from "./drain.ts";
+import type { FleetView, HostRows } from "./host_rows.ts";
+import {
+  reviewWave,
+  setStep,
+  type Wave,
+  type WaveAction,
+  waveActions,
+} from "./wave.ts";
+
+/** Carries out what waves ask for. */
+export class WaveDriver {
+  constructor(
+    private readonly parts: ControllerParts & { readonly rows: HostRows },
+  ) {}
+
+  /** Takes the next steps of a wave. */
+  async advance(fleet: FleetView, stored: Stored<Wave>): Promise<void> {
+    let wave: Stored<Wave> = stored;
+    for (const action of waveActions(wave.value, fleet.byName)) {
+      wave = await this.#carryOut(fleet, wave, action);
+    }
+    const next = reviewWave(wave.value);
+    if (next !== wave.value) await this.#commitWave(fleet, wave, next);
+  }
+
+  async #commitWave(
+    fleet: FleetView,
+    from: Stored<Wave>,
+    to: Wave,
+  ): Promise<Stored<Wave>> {
+    const operation = this.parts.ids.next();
+    const writes: Write[] = [{ key: from.key, value: to }];
+    if (to.state !== from.value.state) {
+      writes.push(this.parts.rows.audit(
+        "wave.state",
+        `wave ${to.id}`,
+        from.value.state,
+        { state: to.state, reason: to.reason },
+        operation,
+      ));
+    }
+    const outcome = await this.parts.platform.table.commit({
+      operation,
+      checks: [{ key: from.key, version: from.version }, fleet.term],
+      writes,
+    });
+    if (outcome.err || outcome.val.kind !== "committed") return from;
+    return { key: from.key, version: outcome.val.version, value: to };
+  }
+
+  async #carryOut(
+    fleet: FleetView,
+    wave: Stored<Wave>,
+    action: WaveAction,
+  ): Promise<Stored<Wave>> {
+    switch (action.kind) {
+      case "drain":
+        return await this.#drainFor(fleet, wave, action.host);
+      case "reboot":
+        return await this.#startReboot(fleet, wave, action.host);
+      case "check":
+        return await this.#checkBoot(fleet, wave, action.host, action.boot);
+    }
+  }
+
+  async #drainFor(
+    fleet: FleetView,
+    wave: Stored<Wave>,
+    name: string,
+  ): Promise<Stored<Wave>> {
+    const at = this.parts.clock.wall();
+    const next = setStep(wave.value, name, "draining", at);
+    const drained = await drainHost(this.parts, {
+      host: name,
+      cause: wave.value.id,
+      checks: [fleet.term, { key: wave.key, version: wave.version }],
+      writes: [{ key: wave.key, value: next }],
+    }, { who: this.parts.name, at, operation: this.parts.ids.next() });
+    if (drained.err) return wave;
+    this.parts.learned([drained.val.host]);
+    return { key: wave.key, version: drained.val.version, value: next };
+  }
+
+  async #startReboot(
+    fleet: FleetView,
+    wave: Stored<Wave>,
+    name: string,
+  ): Promise<Stored<Wave>> {
+    const host = fleet.hosts.find((h) => h.value.name === name);
+    if (host === undefined) return wave;
+    const health = await this.parts.endpoints.health(host.value);
+    const boot = health.ok ? health.val.boot : "";
+    const at = this.parts.clock.wall();
+    const next = setStep(wave.value, name, "rebooting", at, boot);
+    const out = startMaintenance(host.value);
+    const after = await this.#commitStep(
+      fleet,
+      wave,
+      next,
+      host,
+      out,
+      "host.out",
+    );
+    if (after !== wave) await this.#orderReboot(wave.value, out);
+    return after;
+  }
+
+  /** One operation id per host and epoch: repeated calls reboot once. */
+  async #orderReboot(wave: Wave, host: Host): Promise<void> {
+    const operation = `${wave.id}/${host.name}/${host.epoch}`;
+    await this.parts.platform.reboot(host.name, operation);
+  }
+
+  async #checkBoot(
+    fleet: FleetView,
+    wave: Stored<Wave>,
+    name: string,
+    boot: string,
+  ): Promise<Stored<Wave>> {
+    const host = fleet.hosts.find((h) => h.value.name === name);
+    const step = wave.value.hosts.find((s) => s.host === name);
+    if (host === undefined || step === undefined) return wave;
+    const now = this.parts.clock.wall();
+    const done = setStep(wave.value, name, "done", now);
+    const next = returnToService(host.value);
+    if (next.err) return await this.#commitWave(fleet, wave, done);
+    const health = await this.parts.endpoints.health(host.value);
+    const booted = health.ok && health.val.ok && health.val.boot !== boot;
+    if (booted) {
+      return await this.#commitStep(
+        fleet,
+        wave,
+        done,
+        host,
+        next.val,
+        "host.return",
+      );
+    }
+    if (now - step.since > this.parts.settings.bootMs) {
+      const failed = setStep(wave.value, name, "failed", now);
+      return await this.#commitWave(fleet, wave, failed);
+    }
+    await this.#orderReboot(wave.value, host.value);
+    return wave;
+  }
+
+  /** Commits a wave's step with the change of its host. */
+  async #commitStep(
+    fleet: FleetView,
+    wave: Stored<Wave>,
+    nextWave: Wave,
+    host: Stored<Host>,
+    nextHost: Host,
+    action: string,
+  ): Promise<Stored<Wave>> {
+    const version = await this.parts.rows.commitHost(
+      fleet,
+      host,
+      nextHost,
+      action,
+      [
+        { key: wave.key, version: wave.version },
+      ],
+      [{ key: wave.key, value: nextWave }],
+    );
+    if (version === undefined) return wave;
+    return { key: wave.key, version, value: nextWave };
+  }
+}
--- /dev/null
+++ b/test/caller/receive_test.ts
@@ -0,0 +1,150 @@
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { after, before, describe, it } from "node:test";
+import { Err, Ok } from "ts-results";
+import { request } from "undici";
+import { Receiver, type RequestEnd } from "../../src/caller/index.ts";
+import { IdSource, systemClock } from "../../src/clock/index.ts";
+import { codes } from "../../src/errors/index.ts";
+import type { JobService, JobStore } from "../../src/jobs/index.ts";
+import { Admission, Executor, type Router } from "../../src/pipeline/index.ts";
+import { Table } from "../../src/table/index.ts";
+
+const address = "127.0.0.1";
+const port = 17_431;
+const base = `http://${address}:${port}`;
+
+const table = Table.of(1, [
+  { version: 1, row: { kind: "pool", name: "p", budget: 0, spare: false } },
+  {
+    version: 1,
+    row: {
+      kind: "class",
+      name: "quick",
+      pool: "p",
+      urgency: "urgent",
+      repeat: "repeatable",
+      weight: 1,
+      price: 0,
+      rate: 0,
+      concurrency: 0,
+      queue: 10,
+      deadlineMs: 200,
+      runMs: 1_000,
+    },
+  },
+]);
+
+/** Answers with the body's size; grants a slot at once or refuses. */
+const router = {
+  acquire: (wish: { class: { name: string } }) =>
+    Promise.resolve(
+      wish.class.name === "quick"
+        ? Ok({
+          host: "h1",
+          giveBack: () => {},
+          send: (req: { body: Uint8Array }) =>
+            Promise.resolve({
+              kind: "answer" as const,
+              status: 200,
+              headers: {},
+              body: new TextEncoder().encode(String(req.body.length)),
+            }),
+        })
+        : new Err({ code: codes.noHost, message: "none" }),
+    ),
+} as unknown as Pick<Router, "acquire">;
+
+describe("caller port", () => {
+  const ids = new IdSource("test");
+  const ends: RequestEnd[] = [];
+  const receiver = new Receiver({
+    limits: {
+      headerBytes: 2_048,
+      bodyBytes: 1_000,
+      requestMs: 300,
+      connections: 50,
+    },
+    admission: new Admission(systemClock),
+    executor: new Executor(router, ids, systemClock),
+    jobs: {} as JobService,
+    jobStore: {} as JobStore,
+    ids,
+    clock: systemClock,
+    table: () => table,
+    liveEntries: () => 1,
+    unready: () => undefined,
+    ended: (end) => ends.push(end),
+  });
+
+  before(() => receiver.listen(address, port));
+  after(() => receiver.close(0));
+
+  const codeOf = async (
+    path: string,
+    options: {
+      method?: "POST" | "OPTIONS";
+      body?: string;
+      headers?: Record<string, string>;
+    } = {},
+  ) => {
+    const res = await request(base + path, { method: "POST", ...options });
+    await res.body.dump();
+    return Number(res.headers["briartide-code"]);
+  };
+
+  /** Sends raw bytes and returns everything that comes back. */
+  const raw = (text: string): Promise<string> =>
+    new Promise((resolve) => {
+      const socket = connect(port, address, () => socket.write(text));
+      let reply = "";
+      socket.on("data", (bytes) => reply += bytes);
+      socket.on("close", () => resolve(reply));
+    });
+
+  describe("with a good request", () => {
+    it("replies once with the answer and reports one end", async () => {
+      ends.length = 0;
+      assert.equal(await codeOf("/run/quick/x", { body: "12345" }), 1000);
+      assert.deepEqual(ends.map((e) => e.code.code), [1000]);
+    });
+  });
+
+  describe("with a bad request", () => {
+    it("refuses an unknown class", async () => {
+      assert.equal(await codeOf("/run/nothing"), 2009);
+    });
+
+    it("refuses a method", async () => {
+      const method = "OPTIONS";
+      assert.equal(await codeOf("/run/quick", { method }), 2012);
+    });
+
+    it("refuses a body above the limit", async () => {
+      const body = "x".repeat(1_001);
+      assert.equal(await codeOf("/run/quick", { body }), 2010);
+    });
+
+    it("refuses a deadline that is no number", async () => {
+      const headers = { "briartide-deadline-ms": "soon" };
+      assert.equal(await codeOf("/run/quick", { headers }), 2011);
+    });
+
+    it("refuses headers above the limit", async () => {
+      const long = "x".repeat(3_000);
+      const reply = await raw(
+        `GET / HTTP/1.1\r\nhost: a\r\nx: ${long}\r\n\r\n`,
+      );
+      assert.match(reply, /briartide-code: 2017/);
+    });
+
+    it("refuses bytes that are no request", async () => {
+      assert.match(await raw("hello\r\n\r\n"), /briartide-code: 2011/);
+    });
+
+    it("refuses a caller that is too slow", async () => {
+      const reply = await raw("GET /run/quick HTTP/1.1\r\nhost: a\r\n");
+      assert.match(reply, /briartide-code: 2015/);
+    });
+  });
+});
