--- a/src/entry/entry_core.ts
+++ b/src/entry/entry_core.ts
@@ -3,16 +3,13 @@
  * jobs, over interfaces to the platform, the endpoints, and the network.
  */
 import { ActorSystem } from "../actors/index.ts";
-import { type Clock, delay, IdSource, type Random } from "../clock/index.ts";
-import type { EndpointClient } from "../endpoint/index.ts";
+import { delay, IdSource } from "../clock/index.ts";
 import { epochSum, type FleetEffect, type FleetState } from "../fleet/index.ts";
-import type { RegisteredEntry } from "../hosts/index.ts";
 import { JobRunner, JobService, JobStore } from "../jobs/index.ts";
 import type {
   Heartbeat,
   Hello,
   Member,
-  MeshEvents,
   Message,
   PeerNetwork,
 } from "../peers/index.ts";
@@ -25,13 +22,11 @@
   SlotClient,
   SlotServer,
 } from "../pipeline/index.ts";
-import type { Platform } from "../platform/index.ts";
-import type { Settings } from "../settings/index.ts";
 import { diffTables, Table } from "../table/index.ts";
+import type { CoreParts } from "./core_parts.ts";
 import { Confirmations } from "./confirmations.ts";
 import { FleetKeeper } from "./fleet_keeper.ts";
 import { Follower } from "./follower.ts";
-import type { Mechanisms } from "./mechanisms.ts";
 import { Operations } from "./operations.ts";
 import { Ownership } from "./ownership.ts";
 import { PauseGuard } from "./pause_guard.ts";
@@ -40,32 +35,6 @@
 const sweepMs = 20;
 const drainPollMs = 20;
 
-/** Notices of an entry, for its log. */
-export interface EntryEvents {
-  info(message: string, fields?: object): void;
-  warn(message: string, fields?: object): void;
-  actorFailed(actor: string, err: unknown): void;
-  badFrame(peer: string, message: string, code: number): void;
-}
-
-/** What an entry is made of. */
-export interface CoreParts {
-  readonly self: RegisteredEntry;
-  readonly token: string;
-  readonly seeds: readonly string[];
-  readonly platform: Platform;
-  readonly endpoints: EndpointClient;
-  /** Opens the links to the other entries. */
-  network(hello: Hello, events: MeshEvents): PeerNetwork;
-  readonly clock: Clock;
-  readonly random: Random;
-  readonly timing: Required<Settings["timing"]>;
-  readonly listLagMs: number;
-  readonly moves: boolean;
-  readonly events: EntryEvents;
-  readonly mechanisms: Mechanisms;
-}
-
 /** The state and the loops of one entry. */
 export class EntryCore {
   readonly ids: IdSource;
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -1,6 +1,7 @@
 /** One entry host's process. */
 export { Entry } from "./entry.ts";
-export { type CoreParts, EntryCore, type EntryEvents } from "./entry_core.ts";
+export type { CoreParts, EntryEvents } from "./core_parts.ts";
+export { EntryCore } from "./entry_core.ts";
 export { type Mechanisms, ownMechanisms } from "./mechanisms.ts";
 export { PauseGuard } from "./pause_guard.ts";
 export { candidatesOf } from "./ownership.ts";
--- a/src/entry/operations.ts
+++ b/src/entry/operations.ts
@@ -27,7 +27,7 @@
 import type { Scheduler } from "../pipeline/index.ts";
 import type { Check, Platform } from "../platform/index.ts";
 import type { Settings } from "../settings/index.ts";
-import type { EntryEvents } from "./entry_core.ts";
+import type { EntryEvents } from "./core_parts.ts";
 import type { FleetKeeper } from "./fleet_keeper.ts";
 import type { Mechanisms } from "./mechanisms.ts";
 import { fleetPressure } from "./pressure.ts";
