--- a/features/sessions.feature
+++ b/features/sessions.feature
@@ -67,3 +67,19 @@
     And akari waits 2500 ms
     And akari runs "status" and keeps lines with "entry-6"
     Then the session equals its golden file
+
+  Scenario: entry-stopped-under-load
+    Given the hinokuni stack
+    When callers send 60 "fault-ticket" requests of 600 ms while "entry-2" is stopped
+    And callers send 12 "fault-ticket" requests
+    Then the session equals its golden file
+
+  Scenario: leaving-host-with-a-silent-link
+    Given the hinokuni stack
+    When the link between "entry-1" and "entry-2" goes silent
+    And akari runs "drain fitters-1"
+    And the platform goes down
+    And akari waits 3000 ms
+    And callers send 48 "fitter-signoff" requests
+    Then "fitters-1" ran none of the last 48 requests
+    And the session equals its golden file
--- a/features/steps.ts
+++ b/features/steps.ts
@@ -179,6 +179,25 @@
   },
 );
 
+When(
+  "callers send {int} {string} requests of {int} ms while {string} is stopped",
+  async (count: number, name: string, ms: number, entry: string) => {
+    const stack = stackOf();
+    const callers = callersOf();
+    const open = Array.from(
+      { length: count },
+      () => callers.send({ class: name, path: `/?ms=${ms}` }),
+    );
+    await new Promise((resolve) => setTimeout(resolve, ms / 3));
+    stack.signal(entry, "SIGTERM");
+    callers.remove(stack.entries.findIndex((e) => e.id === entry));
+    const ends = await Promise.all(open);
+    write(`callers send ${count} ${name} while ${entry} is stopped`);
+    write(summary(ends.map((e) => e.code)));
+    write(`${entry} exits with ${await stack.ended(entry)}\n`);
+  },
+);
+
 async function submitRent(count: number, ms: number, label: string) {
   const ends = await Promise.all(
     Array.from({ length: count }, (_, i) =>
@@ -215,6 +234,24 @@
   write("the platform comes back\n");
 });
 
+When(
+  "the link between {string} and {string} goes silent",
+  (a: string, b: string) => {
+    stackOf().cutLinks("silent", (x, y) => x.id === a && y.id === b);
+    write(`the link between ${a} and ${b} goes silent\n`);
+  },
+);
+
+Then(
+  "{string} ran none of the last {int} requests",
+  async (host: string, count: number) => {
+    const marks = new Set(callersOf().ends.slice(-count).map((e) => e.id));
+    const record = (await stackOf().records()).find((r) => r.name === host);
+    assert.equal(marks.size, count);
+    assert.equal(record?.runs.filter((r) => marks.has(r.mark)).length, 0);
+  },
+);
+
 When("the process of {string} is killed", async (entry: string) => {
   const stack = stackOf();
   stack.signal(entry, "SIGKILL");
