--- a/bench/rollout.ts
+++ b/bench/rollout.ts
@@ -2,12 +2,8 @@
 import process from "node:process";
 import { deployments } from "../fakes/deployment.ts";
 import { Stack } from "../fakes/stack.ts";
-import {
-  editReplySchema,
-  forceReplySchema,
-  statusReplySchema,
-  tableReplySchema,
-} from "../src/operator/index.ts";
+import { editClass } from "../fakes/table_edit.ts";
+import { statusReplySchema } from "../src/operator/index.ts";
 
 const edits = 40;
 const slowMs = 1_000;
@@ -24,29 +20,6 @@
   readonly peerBytesPerEdit: number;
 }
 
-/** Edits once; returns the time into force and the entries confirmed. */
-async function editOnce(stack: Stack, i: number) {
-  const operator = stack.operator(i % 2);
-  const table = (await operator.get("/v1/table", tableReplySchema)).unwrap();
-  const stored = table.rows.find((r) => r.row.name === "quote-ohio");
-  if (stored?.row.kind !== "class") throw new Error("no class quote-ohio");
-  const row = { ...stored.row, price: 100 + i };
-  const changes = [{ key: "class/quote-ohio", base: stored.version, row }];
-  const startedAt = performance.now();
-  const { version } = (await operator.post("/v1/table", editReplySchema, {
-    changes,
-  })).unwrap();
-  const acceptedAt = performance.now();
-  const path = `/v1/table/force?version=${version}&wait=16000`;
-  const force = (await operator.get(path, forceReplySchema)).unwrap();
-  const endedAt = performance.now();
-  return {
-    ms: endedAt - acceptedAt,
-    totalMs: endedAt - startedAt,
-    confirmed: force.confirmed.length,
-  };
-}
-
 async function bytesOut(stack: Stack): Promise<number> {
   let total = 0;
   for (let i = 0; i < stack.entries.length; i++) {
@@ -66,9 +39,12 @@
   const before = await bytesOut(stack);
   const startedAt = performance.now();
   for (let i = 0; i < count; i++) {
-    const edit = await editOnce(stack, i);
-    times.push(edit.ms);
-    leastConfirmed = Math.min(leastConfirmed, edit.confirmed);
+    const change = { price: 100 + i };
+    const operator = stack.operator(i % 2);
+    const edit = (await editClass(operator, "quote-ohio", change)).unwrap();
+    times.push(edit.sinceAcceptMs);
+    const confirmed = edit.force.confirmed.length;
+    leastConfirmed = Math.min(leastConfirmed, confirmed);
   }
   const seconds = (performance.now() - startedAt) / 1000;
   const spent = await bytesOut(stack) - before;
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -3,17 +3,25 @@
  * the state is built at each size, and the pure steps on it are timed.
  */
 import process from "node:process";
-import { candidatesOf } from "../src/entry/index.ts";
+import { ownedHosts } from "../src/entry/index.ts";
 import {
   applyFleetEvent,
   emptyFleet,
   epochSum,
   type FleetState,
-  servingHosts,
 } from "../src/fleet/index.ts";
-import { type Host, ownerOf, type Registration } from "../src/hosts/index.ts";
-import { encodeFrame, type Heartbeat } from "../src/peers/index.ts";
-import { diffTables, Table, type VersionedRow } from "../src/table/index.ts";
+import type { Host, Registration } from "../src/hosts/index.ts";
+import {
+  encodeFrame,
+  type Heartbeat,
+  type Member,
+} from "../src/peers/index.ts";
+import {
+  applyDelta,
+  diffTables,
+  Table,
+  type VersionedRow,
+} from "../src/table/index.ts";
 
 const hostSizes = [40, 400, 1_900, 3_800, 7_600];
 const poolSizes = [5, 16, 32, 64];
@@ -68,6 +76,28 @@
   }));
 }
 
+/** Every registered entry as a connected peer. */
+function makeMembers(): Member[] {
+  return makeRegistrations().flatMap((row) =>
+    row.entries.map(({ entry, incarnation, zone }) => ({
+      hello: { kind: "hello" as const, entry, incarnation, zone, token: "" },
+      heartbeat: undefined,
+    }))
+  );
+}
+
+/** The table after an edit of one class. */
+function edited(table: Table): Table {
+  const key = "class/class-0-0";
+  const stored = table.rows.get(key);
+  if (stored === undefined) throw new Error(`no row ${key}`);
+  const version = table.version + 1;
+  return new Table(
+    version,
+    new Map(table.rows).set(key, { ...stored, version }),
+  );
+}
+
 function makeTable(pools: number): Table {
   const rows: VersionedRow[] = [];
   for (let p = 0; p < pools; p++) {
@@ -144,25 +174,13 @@
   };
 }
 
-function editOnce(table: Table, i: number): void {
-  const next = new Table(table.version + 1, new Map(table.rows));
-  const key = `class/class-0-${i % classesPerPool}`;
-  const row = next.rows.get(key);
-  if (row === undefined) throw new Error(`no row ${key}`);
-  const rows = new Map(next.rows).set(key, { ...row, version: 2 });
-  diffTables(table, new Table(2, rows));
-}
-
 function measure(hosts: number, pools: number): SlopeRow {
   const before = heapUsed();
   const fleet = buildFleet(hosts, pools);
   const heapBytes = heapUsed() - before;
   const self = { entry: "entry-0-0", incarnation: "1" };
-  const changed = new Map(fleet.table.rows);
-  const first = changed.get("class/class-0-0");
-  if (first === undefined) throw new Error("the table is empty");
-  changed.set("class/class-0-0", { ...first, version: 2 });
-  const delta = diffTables(fleet.table, new Table(2, changed));
+  const members = makeMembers();
+  const delta = diffTables(fleet.table, edited(fleet.table));
   return {
     hosts,
     pools,
@@ -171,16 +189,13 @@
       const row = { ...makeHost(0, pools), epoch: 2 + i };
       applyFleetEvent(fleet, { kind: "hosts", rows: [row] });
     }),
-    ownersUs: timeUs(() => {
-      for (const host of servingHosts(fleet)) {
-        const entries = candidatesOf(fleet, host.zone, self, []);
-        ownerOf(host.name, host.zone, entries);
-      }
-    }),
+    ownersUs: timeUs(() => ownedHosts(fleet, self, members)),
     epochSumUs: timeUs(() => epochSum(fleet)),
     heartbeatBytes: encodeFrame(heartbeatOf(fleet, pools)).length,
     editDeltaBytes: encodeFrame({ kind: "table", delta }).length,
-    editUs: timeUs((i) => editOnce(fleet.table, i)),
+    editUs: timeUs(() => {
+      applyDelta(fleet.table, diffTables(fleet.table, edited(fleet.table)));
+    }),
     pollBytes: JSON.stringify([...fleet.hosts.values()]).length,
   };
 }
--- a/fakes/demo_main.ts
+++ b/fakes/demo_main.ts
@@ -4,17 +4,15 @@
  */
 import process from "node:process";
 import {
-  editReplySchema,
-  forceReplySchema,
   hostReplySchema,
   hostsReplySchema,
   jobsReplySchema,
-  tableReplySchema,
 } from "../src/operator/index.ts";
 import { Callers } from "./caller.ts";
 import { deployments } from "./deployment.ts";
 import { countFindings, judge } from "./evidence.ts";
 import { Stack } from "./stack.ts";
+import { editClass } from "./table_edit.ts";
 
 const loadMs = 12_000;
 const rentRuns = 120;
@@ -37,24 +35,12 @@
   lines.push({ asked, happened, held });
 }
 
-/** Edits the price of the rent run; returns the time into force in ms. */
+/** Edits the price of the rent run and notes the time into force. */
 async function editPrice(stack: Stack): Promise<void> {
   const operator = stack.operator(1, "akari");
-  const table = (await operator.get("/v1/table", tableReplySchema)).unwrap();
-  const stored = table.rows.find((r) => r.row.name === "rent-run");
-  if (stored === undefined || stored.row.kind !== "class") {
-    throw new Error("the table has no rent-run");
-  }
-  const row = { ...stored.row, price: 4350, weight: 4 };
-  const startedAt = performance.now();
-  const edit = {
-    changes: [{ key: "class/rent-run", base: stored.version, row }],
-  };
-  const { version } = (await operator.post("/v1/table", editReplySchema, edit))
-    .unwrap();
-  const path = `/v1/table/force?version=${version}&wait=10000`;
-  const force = (await operator.get(path, forceReplySchema)).unwrap();
-  const ms = performance.now() - startedAt;
+  const change = { price: 4350, weight: 4 };
+  const edit = (await editClass(operator, "rent-run", change)).unwrap();
+  const { force, sinceSubmitMs: ms } = edit;
   const everywhere = force.confirmed.length === stack.entries.length;
   note(
     "edit the rent run's price and weight",
--- a/fakes/soak_main.ts
+++ b/fakes/soak_main.ts
@@ -5,18 +5,16 @@
 import process from "node:process";
 import { parseArgs } from "node:util";
 import {
-  editReplySchema,
-  forceReplySchema,
   hostReplySchema,
   jobsReplySchema,
   statusReplySchema,
-  tableReplySchema,
 } from "../src/operator/index.ts";
 import { Callers } from "./caller.ts";
 import { deployments } from "./deployment.ts";
 import { judge } from "./evidence.ts";
 import { seededRandom } from "./random.ts";
 import { Stack } from "./stack.ts";
+import { editClass } from "./table_edit.ts";
 
 const minuteMs = 60_000;
 const faultMs = 4_000;
@@ -146,23 +144,6 @@
   };
 }
 
-/** Edits the table; returns the time into force on the reachable entries. */
-async function editPrice(stack: Stack, price: number): Promise<number> {
-  const operator = stack.operator(1);
-  const table = await operator.get("/v1/table", tableReplySchema);
-  if (table.err) return 0;
-  const stored = table.val.rows.find((r) => r.row.name === "rent-run");
-  if (stored?.row.kind !== "class") return 0;
-  const row = { ...stored.row, price };
-  const changes = [{ key: "class/rent-run", base: stored.version, row }];
-  const edit = await operator.post("/v1/table", editReplySchema, { changes });
-  if (edit.err) return 0;
-  const startedAt = performance.now();
-  const path = `/v1/table/force?version=${edit.val.version}&wait=16000`;
-  await operator.get(path, forceReplySchema);
-  return performance.now() - startedAt;
-}
-
 async function main(): Promise<number> {
   const { values } = parseArgs({
     options: {
@@ -185,6 +166,7 @@
   const names = Object.keys(faults) as (keyof typeof faults)[];
   const met: Record<string, number> = {};
   let longestForceMs = 0;
+  let editsRefused = 0;
   for (let round = 0; Date.now() < endAt - freezeMs; round++) {
     for (let i = 0; i < 10; i++) {
       callers.send({
@@ -199,7 +181,10 @@
     const name = names[Math.floor(random() * names.length)];
     met[name] = (met[name] ?? 0) + 1;
     const fault = faults[name]();
-    longestForceMs = Math.max(longestForceMs, await editPrice(stack, round));
+    const change = { price: round };
+    const edit = await editClass(stack.operator(1), "rent-run", change);
+    if (edit.err) editsRefused++;
+    else longestForceMs = Math.max(longestForceMs, edit.val.sinceAcceptMs);
     await fault;
     await sleep(calmMs * random());
   }
@@ -241,6 +226,7 @@
     budgetBreaches: watch.budgetBreaches,
     reverts: watch.reverts,
     longestForceMs: Math.round(longestForceMs),
+    editsRefused,
     mostRunsOnAHost: Math.max(...records.map((r) => r.maxRunning)),
     mostConnections: Math.max(...records.map((r) => r.maxConnections)),
   };
--- /dev/null
+++ b/fakes/table_edit.ts
@@ -0,0 +1,53 @@
+/** An operator's edit of one class, followed until it is in force. */
+import { codes, fail, type Failure } from "../src/errors/index.ts";
+import { Ok, type Result } from "ts-results";
+import {
+  editReplySchema,
+  type ForceReply,
+  forceReplySchema,
+  type OperatorClient,
+  tableReplySchema,
+} from "../src/operator/index.ts";
+import type { ClassRow } from "../src/table/index.ts";
+
+const waitMs = 16_000;
+
+/** An edit that was accepted. */
+export interface ForcedEdit {
+  readonly force: ForceReply;
+  /** Time from the submission to the answer on force, in ms. */
+  readonly sinceSubmitMs: number;
+  /** The same from the acceptance. */
+  readonly sinceAcceptMs: number;
+}
+
+/** Edits a class and waits until the reachable entries have confirmed. */
+export async function editClass(
+  operator: OperatorClient,
+  name: string,
+  change: Partial<ClassRow>,
+): Promise<Result<ForcedEdit, Failure>> {
+  const table = await operator.get("/v1/table", tableReplySchema);
+  if (table.err) return table;
+  const key = `class/${name}`;
+  const stored = table.val.rows.find((r) =>
+    r.row.kind === "class" && r.row.name === name
+  );
+  if (stored === undefined) return fail(codes.notFound, `no row ${key}`);
+  const row = { ...stored.row, ...change };
+  const submittedAt = performance.now();
+  const edit = await operator.post("/v1/table", editReplySchema, {
+    changes: [{ key, base: stored.version, row }],
+  });
+  if (edit.err) return edit;
+  const acceptedAt = performance.now();
+  const path = `/v1/table/force?version=${edit.val.version}&wait=${waitMs}`;
+  const force = await operator.get(path, forceReplySchema);
+  if (force.err) return force;
+  const endedAt = performance.now();
+  return Ok({
+    force: force.val,
+    sinceSubmitMs: endedAt - submittedAt,
+    sinceAcceptMs: endedAt - acceptedAt,
+  });
+}
--- a/src/entry/index.ts
+++ b/src/entry/index.ts
@@ -4,4 +4,4 @@
 export { EntryCore } from "./entry_core.ts";
 export { type Mechanisms, ownMechanisms } from "./mechanisms.ts";
 export { PauseGuard } from "./pause_guard.ts";
-export { candidatesOf } from "./ownership.ts";
+export { ownedHosts } from "./ownership.ts";
--- a/src/entry/ownership.ts
+++ b/src/entry/ownership.ts
@@ -24,15 +24,17 @@
   readonly incarnation: string;
 }
 
+/** One start of an entry. */
+type Identity = Pick<OwnershipParts, "entry" | "incarnation">;
+
 /** The entries that may own hosts of a zone, by what is known here. */
-export function candidatesOf(
+function candidatesOf(
   fleet: FleetState,
   zone: string,
-  self: Pick<OwnershipParts, "entry" | "incarnation"> | undefined,
+  self: Identity,
   members: readonly Member[],
 ): readonly Candidate[] {
-  const live = new Map<string, string>();
-  if (self !== undefined) live.set(self.entry, self.incarnation);
+  const live = new Map([[self.entry, self.incarnation]]);
   for (const { hello, heartbeat } of members) {
     if (heartbeat?.shuttingDown) continue;
     live.set(hello.entry, hello.incarnation);
@@ -41,6 +43,23 @@
   return registered.filter((e) => live.get(e.entry) === e.incarnation);
 }
 
+/** The hosts that an entry owns, by what is known here. */
+export function ownedHosts(
+  fleet: FleetState,
+  self: Identity,
+  members: readonly Member[],
+): readonly Host[] {
+  const byZone = new Map<string, readonly Candidate[]>();
+  return servingHosts(fleet).filter((host) => {
+    let candidates = byZone.get(host.zone);
+    if (candidates === undefined) {
+      candidates = candidatesOf(fleet, host.zone, self, members);
+      byZone.set(host.zone, candidates);
+    }
+    return ownerOf(host.name, host.zone, candidates) === self.entry;
+  });
+}
+
 /** Keeps the scheduler's hosts equal to the ones that this entry owns. */
 export class Ownership {
   #owned = new Map<string, number>();
@@ -54,17 +73,8 @@
 
   /** Recomputes the owned hosts; `mayOwn` is false while fenced or leaving. */
   update(fleet: FleetState, members: readonly Member[], mayOwn: boolean): void {
-    const { scheduler, entry } = this.parts;
-    const self = mayOwn ? this.parts : undefined;
-    const byZone = new Map<string, readonly Candidate[]>();
-    const owned = servingHosts(fleet).filter((host) => {
-      let candidates = byZone.get(host.zone);
-      if (candidates === undefined) {
-        candidates = candidatesOf(fleet, host.zone, self, members);
-        byZone.set(host.zone, candidates);
-      }
-      return ownerOf(host.name, host.zone, candidates) === entry;
-    });
+    const { scheduler } = this.parts;
+    const owned = mayOwn ? ownedHosts(fleet, this.parts, members) : [];
     const gained = owned.filter((h) => !this.#owned.has(h.name));
     this.#owned = new Map(owned.map((h) => [h.name, h.epoch]));
     scheduler.setHosts(owned, gained.map((h) => h.name));
--- a/src/maintenance/drain.ts
+++ b/src/maintenance/drain.ts
@@ -73,6 +73,16 @@
   readonly view: PoolView;
   readonly budget: Stored<BudgetRow>;
   readonly checks: readonly Check[];
+  /** Monotonic time in ms at which the reading began. */
+  readonly readAt: number;
+}
+
+/** Whether a decision is too old to commit. */
+export function isStale(
+  parts: Pick<DrainParts, "clock">,
+  decision: Pick<Decision, "readAt">,
+): boolean {
+  return parts.clock.now() - decision.readAt > maxDecisionAgeMs;
 }
 
 /**
@@ -86,7 +96,6 @@
   ctx: ChangeContext,
 ): Promise<Result<Drained, Failure>> {
   for (let attempt = 0; attempt < maxAttempts; attempt++) {
-    const decidedAt = parts.clock.now();
     const decision = await gatherDecision(parts, order);
     if (decision.err) return decision;
     const { host, view, budget, checks } = decision.val;
@@ -94,7 +103,7 @@
     if (next.err) return next;
     const allowed = (parts.checkBudget ?? checkBudget)(view, host.value);
     if (allowed.err) return allowed;
-    if (parts.clock.now() - decidedAt > maxDecisionAgeMs) continue;
+    if (isStale(parts, decision.val)) continue;
     const outcome = await parts.platform.table.commit({
       operation: `${ctx.operation}/${attempt}`,
       checks: [...checks, ...(order.checks ?? [])],
@@ -143,6 +152,7 @@
   parts: DrainParts,
   order: Pick<DrainOrder, "host" | "target">,
 ): Promise<Result<Decision, Failure>> {
+  const readAt = parts.clock.now();
   const rows = await parts.platform.table.read({
     prefixes: [hostPrefix, "budget/", "table/row/pool/"],
   });
@@ -170,6 +180,7 @@
     ejected: new Set(budget.value.ejected),
   };
   return Ok({
+    readAt,
     host,
     view,
     budget,
--- a/src/maintenance/ejection.ts
+++ b/src/maintenance/ejection.ts
@@ -7,7 +7,7 @@
 import { codes, fail, type Failure } from "../errors/index.ts";
 import type { ChangeContext } from "../table/index.ts";
 import { type BudgetRow, checkBudget } from "./budget.ts";
-import { type DrainParts, gatherDecision, maxDecisionAgeMs } from "./drain.ts";
+import { type DrainParts, gatherDecision, isStale } from "./drain.ts";
 
 /** Marks a host as ejected within its pool's budget. Fails as a drain does. */
 export async function ejectFromPool(
@@ -33,7 +33,6 @@
   ctx: ChangeContext,
   action: "host.eject" | "host.reinstate",
 ): Promise<Result<void, Failure>> {
-  const decidedAt = parts.clock.now();
   const decision = await gatherDecision(parts, { host });
   if (decision.err) return decision;
   const { budget, view, checks } = decision.val;
@@ -44,7 +43,7 @@
     const allowed = check(view, decision.val.host.value);
     if (allowed.err) return allowed;
   }
-  if (parts.clock.now() - decidedAt > maxDecisionAgeMs) {
+  if (isStale(parts, decision.val)) {
     return fail(codes.stateConflict, `the decision on ${host} is too old`);
   }
   const others = budget.value.ejected.filter((name) => name !== host);
