--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -15,7 +15,7 @@
 
 const outDir = "dist";
 const programs = {
-  briartide: "src/main.ts",
+  briartide: "platform/main.ts",
   platform: "fakes/platform_main.ts",
   endpoints: "fakes/endpoints_main.ts",
   stack: "fakes/stack_main.ts",
--- /dev/null
+++ b/src/batch/progress_row.ts
@@ -0,0 +1,122 @@
+/**
+ * The stored form of a job's progress. Tasks that are as at the start of
+ * their occurrence are left out, and the others are written as short lists,
+ * because bytes of the store are paid for.
+ */
+import * as v from "valibot";
+import type { JobSpec } from "./job_spec.ts";
+import {
+  freshTasks,
+  jobPhases,
+  type Placement,
+  type Progress,
+  type TaskState,
+} from "./progress.ts";
+import { parseJson } from "../store/index.ts";
+
+const taskFields = [
+  v.number(), // occurrence
+  v.number(), // step
+  v.number(), // index
+  v.number(), // 1 when done
+  v.number(), // last run
+  v.number(), // failures
+  v.string(), // checkpoint
+] as const;
+const placementEntrySchema = v.tuple([
+  v.number(), // run
+  v.string(), // endpoint
+  v.number(), // life
+]);
+const taskEntrySchema = v.union([
+  v.tuple([...taskFields, placementEntrySchema]),
+  v.tuple([...taskFields]),
+]);
+
+const progressRowSchema = v.object({
+  phase: v.picklist(jobPhases),
+  next: v.number(),
+  completed: v.number(),
+  open: v.array(v.number()),
+  tasks: v.array(taskEntrySchema),
+});
+
+type TaskEntry = v.InferOutput<typeof taskEntrySchema>;
+
+/** Encodes a job's progress. */
+export function encodeProgress(p: Progress): string {
+  const tasks: TaskEntry[] = [];
+  for (const [occurrence, steps] of p.open) {
+    steps.forEach((list, step) =>
+      list.forEach((task, index) => {
+        if (task.lastRun === 0) return;
+        tasks.push(encodeTask([occurrence, step, index], task));
+      })
+    );
+  }
+  const row: v.InferOutput<typeof progressRowSchema> = {
+    phase: p.phase,
+    next: p.nextOccurrence,
+    completed: p.completedOccurrences,
+    open: [...p.open.keys()],
+    tasks,
+  };
+  return JSON.stringify(row);
+}
+
+function encodeTask(
+  [occurrence, step, index]: readonly [number, number, number],
+  task: TaskState,
+): TaskEntry {
+  const { done, lastRun, failures, checkpoint, placement } = task;
+  const flag = done ? 1 : 0;
+  const entry = [
+    occurrence,
+    step,
+    index,
+    flag,
+    lastRun,
+    failures,
+    checkpoint,
+  ] as const;
+  if (placement === undefined) return [...entry];
+  return [...entry, [placement.run, placement.endpoint, placement.life]];
+}
+
+/** Decodes only the phase, for callers that ask for a job's state. */
+export function decodePhase(value: string): Progress["phase"] | undefined {
+  return parseJson(v.object({ phase: v.picklist(jobPhases) }), value)?.phase;
+}
+
+/** Decodes a job's progress; undefined when the row is not readable. */
+export function decodeProgress(
+  value: string,
+  spec: JobSpec,
+): Progress | undefined {
+  const row = parseJson(progressRowSchema, value);
+  if (row === undefined) return undefined;
+  const open = new Map(
+    row.open.map((k) => [k, freshTasks(spec.steps).map((list) => [...list])]),
+  );
+  for (const entry of row.tasks) {
+    const [occurrence, step, index] = entry;
+    const tasks = open.get(occurrence)?.[step];
+    if (tasks === undefined || index >= tasks.length) continue;
+    tasks[index] = decodeTask(entry);
+  }
+  return {
+    phase: row.phase,
+    open,
+    nextOccurrence: row.next,
+    completedOccurrences: row.completed,
+  };
+}
+
+function decodeTask(entry: TaskEntry): TaskState {
+  const [, , , done, lastRun, failures, checkpoint, placed] = entry;
+  const task = { done: done === 1, lastRun, failures, checkpoint };
+  if (placed === undefined) return task;
+  const [run, endpoint, life] = placed;
+  const placement: Placement = { run, endpoint, life };
+  return { ...task, placement };
+}
--- /dev/null
+++ b/src/catalog/index.ts
@@ -0,0 +1,9 @@
+/** The operator's table of queues and pools as it is in force. */
+export {
+  type Catalog,
+  CatalogHolder,
+  findQueue,
+  type Pool,
+  type Queue,
+  type QueuePath,
+} from "./catalog.ts";
--- /dev/null
+++ b/src/cluster/index.ts
@@ -0,0 +1,17 @@
+/** Members, their shards, and the leases on them. */
+export { assignShards, shardToRelease } from "./assignment.ts";
+export {
+  type Member,
+  memberLeaseMs,
+  memberSchema,
+  MemberView,
+} from "./members.ts";
+export {
+  type CommitFailure,
+  type Holder,
+  type Owner,
+  type OwnerRow,
+  ownerTable,
+  readOwner,
+  ShardLease,
+} from "./shard_lease.ts";
--- /dev/null
+++ b/src/cluster/members.ts
@@ -0,0 +1,70 @@
+/**
+ * Who is alive: a pure view over the members' rows.
+ *
+ * A member is live while the version of its row changes within the lease
+ * time, measured on the reader's own steady clock; wall clocks of different
+ * hosts are never compared.
+ */
+import * as v from "valibot";
+import { parseJson, type Row } from "../store/index.ts";
+
+/** Time without a heartbeat after which a member counts as dead, in ms. */
+export const memberLeaseMs = 2_500;
+
+/**
+ * Time between two reads, in ms, after which silence of the members proves
+ * nothing, because the reader itself was paused or cut off.
+ */
+const readGapMs = 1_500;
+
+export const memberSchema = v.object({
+  entry: v.string(),
+  /** Identifies one process start. */
+  boot: v.string(),
+  zone: v.string(),
+  /** Shards that the process holds. */
+  shards: v.array(v.string()),
+  /** Whether it takes further shards. */
+  accepting: v.boolean(),
+});
+
+/** One process as it describes itself. */
+export type Member = v.InferOutput<typeof memberSchema>;
+
+interface Sighting {
+  readonly member: Member;
+  readonly version: number;
+  readonly changedAt: number;
+}
+
+/** Members seen so far; `observe` returns the next view. */
+export class MemberView {
+  static readonly empty = new MemberView(new Map(), 0);
+
+  private constructor(
+    private readonly sightings: ReadonlyMap<string, Sighting>,
+    private readonly readAt: number,
+  ) {}
+
+  /** The view after a read of all members' rows at the steady time `now`. */
+  observe(rows: readonly Row[], now: number): MemberView {
+    const resumed = now - this.readAt > readGapMs;
+    const next = new Map<string, Sighting>();
+    for (const row of rows) {
+      const member = parseJson(memberSchema, row.value);
+      if (member === undefined) continue;
+      const before = this.sightings.get(row.key);
+      const same = before?.version === row.version && !resumed;
+      const changedAt = same ? before.changedAt : now;
+      next.set(row.key, { member, version: row.version, changedAt });
+    }
+    return new MemberView(next, now);
+  }
+
+  /** Members whose heartbeat is recent. */
+  live(now: number): readonly Member[] {
+    return [...this.sightings.values()]
+      .filter((s) => now - s.changedAt < memberLeaseMs)
+      .map((s) => s.member);
+  }
+}
--- /dev/null
+++ b/src/cluster/shard_lease.ts
@@ -0,0 +1,213 @@
+/**
+ * Ownership of one shard: a single row that names the holder and counts its
+ * terms and commits.
+ *
+ * Every transaction of the owner expects the row at the version of its last
+ * commit and puts it again. So a transaction of an earlier owner, or an
+ * earlier one of the same owner that the store performs late, fails its
+ * check. The term is the fencing token of all orders to endpoints.
+ */
+import { Err, Ok, type Result } from "ts-results";
+import * as v from "valibot";
+import type { Clock } from "../clock/index.ts";
+import {
+  parseJson,
+  type Row,
+  type RowKey,
+  type RowPut,
+  type Store,
+  type StoreFailure,
+} from "../store/index.ts";
+
+/** Table of the owner rows; the partition is the shard. */
+export const ownerTable = "owner";
+const ownerKey = "owner";
+
+const ownerSchema = v.object({
+  /** Boot of the holder; empty after a release. */
+  boot: v.string(),
+  entry: v.string(),
+  term: v.number(),
+  /** Commits of this term. */
+  commits: v.number(),
+});
+
+/** Content of an owner row. */
+export type Owner = v.InferOutput<typeof ownerSchema>;
+
+/** Why a commit did not happen. */
+export type CommitFailure = StoreFailure | {
+  readonly kind: "lost";
+  readonly message: string;
+};
+
+/** Identity of a process start. */
+export interface Holder {
+  readonly entry: string;
+  readonly boot: string;
+}
+
+/** An owner row as read; version 0 when there is none. */
+export interface OwnerRow {
+  readonly owner: Owner | undefined;
+  readonly version: number;
+}
+
+function decodeOwner(row: Row | undefined): OwnerRow {
+  const owner = row && parseJson(ownerSchema, row.value);
+  return { owner, version: row?.version ?? 0 };
+}
+
+function ownerRowKey(shard: string): RowKey {
+  return { table: ownerTable, partition: shard, key: ownerKey };
+}
+
+/** Reads a shard's owner row. */
+export async function readOwner(
+  store: Store,
+  shard: string,
+): Promise<Result<OwnerRow, StoreFailure>> {
+  const rows = await store.range({ table: ownerTable, partition: shard });
+  return rows.map((found) =>
+    decodeOwner(found.rows.find((r) => r.key === ownerKey))
+  );
+}
+
+/** A held shard. */
+export class ShardLease {
+  #version: number;
+  #owner: Owner;
+  #renewedAt: number;
+  #renewedWall: number;
+  #lost = false;
+
+  private constructor(
+    private readonly store: Store,
+    private readonly clock: Clock,
+    readonly shard: string,
+    owner: Owner,
+    version: number,
+    startedAt: number,
+    startedWall: number,
+  ) {
+    this.#owner = owner;
+    this.#version = version;
+    this.#renewedAt = startedAt;
+    this.#renewedWall = startedWall;
+  }
+
+  /** Begins a new term after `previous`; undefined when another was faster. */
+  static async acquire(
+    store: Store,
+    clock: Clock,
+    shard: string,
+    holder: Holder,
+    previous: OwnerRow,
+  ): Promise<ShardLease | undefined> {
+    const term = (previous.owner?.term ?? 0) + 1;
+    const owner = { ...holder, term, commits: 0 };
+    const startedAt = clock.now();
+    const startedWall = clock.wall();
+    const key = ownerRowKey(shard);
+    const outcome = await store.commit({
+      checks: [{ ...key, version: previous.version }],
+      puts: [{ ...key, value: JSON.stringify(owner) }],
+      removes: [],
+    });
+    if (outcome.err || outcome.val.kind !== "committed") return undefined;
+    const { version } = outcome.val;
+    return new ShardLease(
+      store,
+      clock,
+      shard,
+      owner,
+      version,
+      startedAt,
+      startedWall,
+    );
+  }
+
+  /** Fencing token of this term's orders. */
+  get term(): number {
+    return this.#owner.term;
+  }
+
+  /** Whether another owner's commit has been seen. */
+  get isLost(): boolean {
+    return this.#lost;
+  }
+
+  /**
+   * Time since the start of the last successful commit, in ms, by whichever
+   * of the steady and the wall clock says more: a suspended process sees only
+   * the second one advance.
+   */
+  get ageMs(): number {
+    const steady = this.clock.now() - this.#renewedAt;
+    const wall = this.clock.wall() - this.#renewedWall;
+    return Math.max(steady, wall);
+  }
+
+  /**
+   * Commits changes of the shard and renews the lease. A lost answer is
+   * resolved by the next call: its check fails and the row shows whether the
+   * earlier commit was performed. One commit at a time.
+   */
+  async commit(
+    puts: readonly RowPut[],
+    removes: readonly RowKey[],
+  ): Promise<Result<void, CommitFailure>> {
+    return await this.#put(
+      { ...this.#owner, commits: this.#owner.commits + 1 },
+      puts,
+      removes,
+    );
+  }
+
+  /** Gives the shard up so that another entry can take it at once. */
+  async release(): Promise<Result<void, CommitFailure>> {
+    const owner = { ...this.#owner, boot: "", entry: "" };
+    const released = await this.#put(owner, [], []);
+    this.#lost = true;
+    return released;
+  }
+
+  async #put(
+    owner: Owner,
+    puts: readonly RowPut[],
+    removes: readonly RowKey[],
+  ): Promise<Result<void, CommitFailure>> {
+    const key = ownerRowKey(this.shard);
+    const startedAt = this.clock.now();
+    const startedWall = this.clock.wall();
+    const outcome = await this.store.commit({
+      checks: [{ ...key, version: this.#version }],
+      puts: [...puts, { ...key, value: JSON.stringify(owner) }],
+      removes,
+    });
+    if (outcome.err) return outcome;
+    if (outcome.val.kind === "committed") {
+      this.#owner = owner;
+      this.#version = outcome.val.version;
+      this.#renewedAt = startedAt;
+      this.#renewedWall = startedWall;
+      return Ok(undefined);
+    }
+    return this.#conflict(decodeOwner(outcome.val.rows[0]));
+  }
+
+  /** Tells a commit of our own that went unanswered from a lost shard. */
+  #conflict(found: OwnerRow): Result<void, CommitFailure> {
+    const { owner, version } = found;
+    const { term, boot, commits } = this.#owner;
+    const own = owner?.term === term && owner.boot === boot;
+    if (own && owner.commits === commits + 1) {
+      this.#owner = owner;
+      this.#version = version;
+      // The caller writes its rows again: what it holds is newer.
+      return Err({ kind: "refused", message: "an earlier commit was late" });
+    }
+    this.#lost = true;
+    return Err({ kind: "lost", message: `held by ${owner?.entry ?? "none"}` });
+  }
+}
--- a/src/commands/index.ts
+++ b/src/commands/index.ts
@@ -5,7 +5,14 @@
 import { tableCommand } from "./table.ts";
 import { workCommands } from "./work.ts";
 
-export { type Command, exitCodes } from "./command.ts";
+export {
+  type Command,
+  exitCodes,
+  parseCommand,
+  print,
+  reportFailure,
+} from "./command.ts";
+export { runCommandLine } from "./run.ts";
 
 /** Every subcommand, in the order of the help text. */
 export const commands: readonly Command[] = [
--- a/src/main.ts
+++ b/src/commands/run.ts
@@ -1,9 +1,9 @@
 /** The command line: finds the subcommand and runs it. */
 import process from "node:process";
-import { type Command, commands, exitCodes } from "./commands/index.ts";
-import { version } from "./version.ts";
+import { type Command, exitCodes } from "./command.ts";
+import { version } from "../version.ts";
 
-function overview(): string {
+function overview(commands: readonly Command[]): string {
   const width = Math.max(...commands.map((c) => c.name.length));
   const lines = commands.map((c) => `  ${c.name.padEnd(width)}  ${c.summary}`);
   return `Usage: briartide COMMAND [OPTIONS]
@@ -15,9 +15,12 @@
 Exit codes: 0 done, 1 failed, 2 invalid input, 3 conflict, 4 not in force.`;
 }
 
-async function main(args: readonly string[]): Promise<number> {
+async function runCommand(
+  commands: readonly Command[],
+  args: readonly string[],
+): Promise<number> {
   const [name, ...rest] = args;
-  const command = commands.find((c: Command) => c.name === name);
+  const command = commands.find((c) => c.name === name);
   if (args.includes("--version")) {
     process.stdout.write(`briartide ${version}\n`);
     return exitCodes.ok;
@@ -25,7 +28,7 @@
   if (command === undefined) {
     const asked = name === undefined || name === "--help" || name === "help";
     const stream = asked ? process.stdout : process.stderr;
-    stream.write(`${overview()}\n`);
+    stream.write(`${overview(commands)}\n`);
     return asked ? exitCodes.ok : exitCodes.invalid;
   }
   if (rest.includes("--help")) {
@@ -35,9 +38,12 @@
   return await command.run(rest);
 }
 
-main(process.argv.slice(2)).then((code) => {
-  process.exitCode = code;
-  if (code !== exitCodes.ok) return;
-  // Idle connections of the HTTP client would delay the end of the process.
-  process.exit(code);
-});
+/** Runs the subcommand that the process was started with, and exits. */
+export function runCommandLine(commands: readonly Command[]): void {
+  runCommand(commands, process.argv.slice(2)).then((code) => {
+    process.exitCode = code;
+    if (code !== exitCodes.ok) return;
+    // Idle connections of the HTTP client would delay the end of the process.
+    process.exit(code);
+  });
+}
--- a/src/endpoint/index.ts
+++ b/src/endpoint/index.ts
@@ -10,3 +10,9 @@
   runStateSchema,
   wholeAnswerBytes,
 } from "./endpoint_client.ts";
+export {
+  EndpointRegistry,
+  type RegistryChange,
+  type TaskEndpoint,
+} from "./registry.ts";
+export * from "./task_orders.ts";
--- /dev/null
+++ b/src/scheduler/caretaker.ts
@@ -0,0 +1,121 @@
+/**
+ * Looks after runs that go wrong or are in the way: stops those that stand
+ * still, and moves long-running tasks off endpoints that are about to leave.
+ */
+import { taskAt } from "../batch/index.ts";
+import type { Clock } from "../clock/index.ts";
+import type { RowKey, RowPut } from "../store/index.ts";
+import type { EndpointDriver } from "./endpoint_driver.ts";
+import type { EndpointSession, Run } from "./endpoint_session.ts";
+import type { BookedJob, JobBook } from "./job_book.ts";
+import { vacatedKey, type VacateState } from "../upkeep/index.ts";
+import { afterFailure } from "./suspicion.ts";
+
+/** Time without progress after which a run counts as standing still, in ms. */
+const stallMs = 2_500;
+
+/** Time in which a long-running task has to be at work, in ms. */
+const startupMs = 5_000;
+
+/** Percentage at which a long-running task is at work. */
+const atWork = 100;
+
+/** What the caretaker works with. */
+export interface CareParts {
+  readonly shard: string;
+  readonly clock: Clock;
+  readonly book: JobBook;
+  readonly driver: EndpointDriver;
+  readonly vacating: () => ReadonlyMap<string, VacateState>;
+  /** Writes a row with the shard's next commit. */
+  readonly report: (row: RowPut) => void;
+  /** Removes a row with the shard's next commit. */
+  readonly retract: (row: RowKey) => void;
+}
+
+/** Looks after the runs of one shard. */
+export class Caretaker {
+  readonly #reported = new Set<string>();
+
+  constructor(private readonly parts: CareParts) {}
+
+  /** One pass over all runs. */
+  pass(): void {
+    const vacating = this.parts.vacating();
+    for (const session of this.parts.driver.sessions()) {
+      const { id } = session.endpoint;
+      if (vacating.get(id) === "down") {
+        this.parts.driver.endLife(id, "host taken down");
+        continue;
+      }
+      this.#stopStalled(session);
+      const leaving = vacating.has(session.endpoint.id);
+      if (leaving || session.endpoint.draining) this.#moveAway(session);
+      if (leaving) this.#reportVacated(session);
+    }
+    for (const id of this.#reported) {
+      if (vacating.has(id)) continue;
+      this.#reported.delete(id);
+      this.parts.retract(vacatedKey(this.parts.shard, id));
+    }
+  }
+
+  #stopStalled(session: EndpointSession): void {
+    const now = this.parts.clock.now();
+    for (const run of session.runs.values()) {
+      if (run.phase !== "running" || !isStalled(run, now)) continue;
+      const job = this.parts.book.jobs.get(run.job);
+      if (job === undefined) continue;
+      this.parts.book.noteFailure(job, run.ref, session.endpoint.id);
+      session.suspicion = afterFailure(session.suspicion, run.job, now);
+      this.parts.driver.stopRun(session, run, "no progress");
+    }
+  }
+
+  #moveAway(session: EndpointSession): void {
+    for (const run of session.runs.values()) {
+      if (run.phase !== "running" || !run.step.longRunning) continue;
+      const job = this.parts.book.jobs.get(run.job);
+      if (job === undefined || !this.#mayInterrupt(job, run)) continue;
+      this.parts.driver.stopRun(session, run, "endpoint leaves");
+    }
+  }
+
+  /** Whether the step's availability budget allows one more interruption. */
+  #mayInterrupt(job: BookedJob, run: Run): boolean {
+    const { maxUnavailable, count } = run.step;
+    if (maxUnavailable === undefined) return true;
+    let away = 0;
+    for (let index = 0; index < count; index++) {
+      if (index === run.ref.index) continue;
+      if (!this.#isAtWork(job, { ...run.ref, index })) away++;
+    }
+    return away < maxUnavailable;
+  }
+
+  #isAtWork(job: BookedJob, ref: Run["ref"]): boolean {
+    const placement = taskAt(job.progress, ref)?.placement;
+    if (placement === undefined) return false;
+    const session = this.parts.driver.session(placement.endpoint);
+    const name = `${job.spec.id}.${ref.occurrence}.${ref.step}.${ref.index}`;
+    const run = session?.find(name, placement.run);
+    return run?.phase === "running" && run.percent === atWork;
+  }
+
+  #reportVacated(session: EndpointSession): void {
+    const { id } = session.endpoint;
+    if (session.runs.size > 0 || this.#reported.has(id)) return;
+    this.#reported.add(id);
+    const key = vacatedKey(this.parts.shard, id);
+    this.parts.report({ ...key, value: "{}" });
+  }
+}
+
+function isStalled(run: Run, now: number): boolean {
+  if (run.step.longRunning) {
+    return run.percent < atWork && now - run.changedAt > startupMs &&
+      now - run.progressedAt > stallMs;
+  }
+  if (run.step.gang || run.pace < 100) return false;
+  return now - run.progressedAt > stallMs;
+}
--- /dev/null
+++ b/src/scheduler/endpoint_session.ts
@@ -0,0 +1,208 @@
+/**
+ * What a shard's owner knows of one life of one endpoint: its clock, the
+ * lease, the runs that may be under way there, and what its lists say of
+ * them. It sends nothing itself.
+ */
+import type { Resources, StepSpec, TaskRef } from "../batch/index.ts";
+import type {
+  EndedTask,
+  EndpointLists,
+  RunningTask,
+  TaskEndpoint,
+} from "../endpoint/index.ts";
+import { addResources, roomOf, subtractResources } from "./place.ts";
+import { noSuspicion, type Suspicion } from "./suspicion.ts";
+
+/**
+ * Lease that each order asks for, in ms of the endpoint's clock. It outlasts
+ * a change of owner (a member's lease and one read of the members).
+ */
+export const taskLeaseMs = 5_000;
+
+/** Most by which an endpoint's clock runs slow, as a share. */
+const clockDrift = 0.02;
+
+/** Allowance for the delivery of an answer when a lease's end is bounded. */
+const deliveryMs = 100;
+
+/**
+ * Phases of a run.
+ *
+ * `intended`: its intent is not yet committed, and no order was sent.
+ * `starting`: the order is on its way. `running`: the endpoint has confirmed
+ * it. `doubtful`: whether it runs is not known. `stopping`: a stop is on its
+ * way or was confirmed.
+ */
+export type RunPhase =
+  | "intended"
+  | "starting"
+  | "running"
+  | "doubtful"
+  | "stopping";
+
+/** A run that may be under way at an endpoint. */
+export interface Run {
+  readonly name: string;
+  readonly job: string;
+  readonly ref: TaskRef;
+  readonly run: number;
+  readonly step: StepSpec;
+  /** What the task is started with. */
+  readonly payload: string;
+  phase: RunPhase;
+  /** Steady time of the last change of the phase. */
+  changedAt: number;
+  /** Steady time at which a stop was confirmed. */
+  stoppedAt: number | undefined;
+  percent: number;
+  /** Steady time at which the percentage last changed. */
+  progressedAt: number;
+  load: number | undefined;
+  /** Share of its work that the run is allowed, 0 to 100. */
+  pace: number;
+  checkpoint: string;
+}
+
+/** What the lists of an endpoint call for. */
+export interface Findings {
+  /** Runs whose end is new, in the order of their numbers. */
+  readonly ended: readonly EndedTask[];
+  /** Runs that are listed for the first time. */
+  readonly confirmed: readonly Run[];
+  /** Runs that are proved not to be under way and have no end. */
+  readonly absent: readonly Run[];
+  /** Runs whose state only a stop can settle. */
+  readonly unsettled: readonly Run[];
+  /** Runs that nobody here asked for. */
+  readonly foreign: readonly RunningTask[];
+}
+
+const nothing: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
+
+/** One life of one endpoint. */
+export class EndpointSession {
+  readonly runs = new Map<string, Run>();
+  /** Whether the endpoint has accepted an order of this term. */
+  fenced = false;
+  /** Highest number of an end that is recorded in the store. */
+  recordedEnd = 0;
+  /** Highest number of an end that has been taken from the lists. */
+  seenEnd = 0;
+  suspicion: Suspicion = noSuspicion;
+  /** Steady time until which the endpoint had no room. */
+  fullUntil = 0;
+  /** Whether the last hold went without an answer. */
+  silent = false;
+  /** Whether the life is over; nothing more is sent to it. */
+  closed = false;
+  #used: Resources = nothing;
+  #clockMs: number | undefined;
+  #clockReadAt = 0;
+  #leaseEndsBy: number;
+
+  /** `leaseEndsBy`: latest end of a lease that an earlier owner gave. */
+  constructor(public endpoint: TaskEndpoint, leaseEndsBy: number) {
+    this.#leaseEndsBy = leaseEndsBy;
+  }
+
+  get used(): Resources {
+    return this.#used;
+  }
+
+  /** Steady time after which nothing can run there unless held again. */
+  get leaseEndsBy(): number {
+    return this.#leaseEndsBy;
+  }
+
+  /** Whether tasks may be placed there. */
+  get isOpen(): boolean {
+    return !this.closed && this.fenced && !this.silent &&
+      !this.endpoint.draining &&
+      this.#clockMs !== undefined;
+  }
+
+  /** Adds a run and takes its room. */
+  add(run: Run): void {
+    this.runs.set(run.name, run);
+    this.#used = addResources(this.#used, roomOf(run.step));
+  }
+
+  /** Forgets a run and frees its room. */
+  remove(run: Run): void {
+    if (this.runs.get(run.name) !== run) return;
+    this.runs.delete(run.name);
+    this.#used = subtractResources(this.#used, roomOf(run.step));
+  }
+
+  /** The run of a task, when it has that number. */
+  find(name: string, number: number): Run | undefined {
+    const run = this.runs.get(name);
+    return run?.run === number ? run : undefined;
+  }
+
+  /**
+   * The lease to ask for at the steady time `now`, in ms of the endpoint's
+   * clock; undefined before its clock is known.
+   */
+  askLease(now: number): number | undefined {
+    if (this.#clockMs === undefined) return undefined;
+    const clock = this.#clockMs + (now - this.#clockReadAt);
+    const until = Math.floor(clock + taskLeaseMs);
+    const left = (until - this.#clockMs) * (1 + clockDrift);
+    const endsBy = this.#clockReadAt + left + deliveryMs;
+    this.#leaseEndsBy = Math.max(this.#leaseEndsBy, endsBy);
+    return until;
+  }
+
+  /** Notes the endpoint's clock as of an answer received at `now`. */
+  readClock(clockMs: number, now: number): void {
+    this.#clockMs = clockMs;
+    this.#clockReadAt = now;
+  }
+
+  /** Compares lists that were asked for at the steady time `sentAt`. */
+  compare(lists: EndpointLists, sentAt: number, now: number): Findings {
+    const running = new Map(lists.running.map((r) => [r.task, r]));
+    const ended = lists.ended.filter((e) => e.seq > this.seenEnd);
+    this.seenEnd = Math.max(this.seenEnd, ended.at(-1)?.seq ?? 0);
+    const endedRuns = new Set(ended.map((e) => `${e.task}#${e.run}`));
+    const confirmed: Run[] = [];
+    const absent: Run[] = [];
+    const unsettled: Run[] = [];
+    for (const run of this.runs.values()) {
+      const listed = running.get(run.name);
+      if (listed?.run === run.run) {
+        if (this.#observe(run, listed, now)) confirmed.push(run);
+      } else if (endedRuns.has(`${run.name}#${run.run}`)) continue;
+      else if (this.#isAbsent(run, sentAt)) absent.push(run);
+      else if (this.#isUnsettled(run, sentAt)) unsettled.push(run);
+    }
+    const foreign = lists.running.filter((r) =>
+      this.find(r.task, r.run) === undefined
+    );
+    return { ended, confirmed, absent, unsettled, foreign };
+  }
+
+  /** Notes what the lists say of a run; tells whether that confirms it. */
+  #observe(run: Run, listed: RunningTask, now: number): boolean {
+    const confirms = run.phase === "doubtful" || run.phase === "starting";
+    if (confirms) {
+      run.phase = "running";
+      run.changedAt = now;
+    }
+    if (listed.percent !== run.percent) run.progressedAt = now;
+    run.percent = listed.percent;
+    run.load = listed.load;
+    if (listed.checkpoint !== "") run.checkpoint = listed.checkpoint;
+    return confirms;
+  }
+
+  #isAbsent(run: Run, sentAt: number): boolean {
+    return run.stoppedAt !== undefined && run.stoppedAt < sentAt;
+  }
+
+  #isUnsettled(run: Run, sentAt: number): boolean {
+    if (run.changedAt >= sentAt) return false;
+    return run.phase === "doubtful" || run.phase === "running";
+  }
+}
--- /dev/null
+++ b/src/scheduler/index.ts
@@ -0,0 +1,22 @@
+/** Placement of tasks on endpoints, and the owner of a shard around it. */
+export type { DecisionFields, DecisionLog } from "./decision_log.ts";
+export { EndpointSession, type Run, taskLeaseMs } from "./endpoint_session.ts";
+export { type BookedJob, JobBook } from "./job_book.ts";
+export { compareRanks, longestChainMs, rankOf } from "./order.ts";
+export { paceRuns, worstLoad } from "./pace.ts";
+export {
+  addResources,
+  type Candidate,
+  choosePlace,
+  isEligible,
+  roomOf,
+} from "./place.ts";
+export { planStarts } from "./planner.ts";
+export { ShardOwner, type ShardParts } from "./shard_owner.ts";
+export {
+  afterFailure,
+  afterSuccess,
+  mayGetWork,
+  noSuspicion,
+  type Suspicion,
+} from "./suspicion.ts";
--- /dev/null
+++ b/src/scheduler/job_book.ts
@@ -0,0 +1,164 @@
+/**
+ * The jobs of one shard in memory: accepted ones with their progress, which
+ * of them differ from the store, and how many wait.
+ */
+import {
+  cancelJob,
+  cancelledJob,
+  decodeProgress,
+  dueAt,
+  encodeProgress,
+  freshProgress,
+  hasBegun,
+  isFinal,
+  type JobSpec,
+  jobSpecSchema,
+  occurrenceCount,
+  openOccurrence,
+  type Progress,
+  taskName,
+  type TaskRef,
+} from "../batch/index.ts";
+import { parseJson, type Row, type RowChange } from "../store/index.ts";
+
+/** A job with its progress. */
+export interface BookedJob {
+  readonly spec: JobSpec;
+  progress: Progress;
+  /** Endpoints where a task has failed or stood still, by its name. */
+  readonly failedAt: Map<string, Set<string>>;
+  /** Steady time at which the job was seen to be final. */
+  finalAt: number | undefined;
+}
+
+/** The jobs of one shard. */
+export class JobBook {
+  readonly jobs = new Map<string, BookedJob>();
+  /** Jobs whose progress the store does not hold yet. */
+  readonly dirty = new Set<string>();
+  /** Jobs that may have tasks to place. */
+  readonly active = new Set<string>();
+  readonly #stored = new Map<string, string>();
+  /** Cancel marks that came before their job was known. */
+  readonly #cancelled = new Set<string>();
+
+  /** Takes the stored progress, before the inbox is read. */
+  loadProgress(rows: readonly Row[]): void {
+    for (const row of rows) this.#stored.set(row.key, row.value);
+  }
+
+  /** Takes rows of the inbox; returns the jobs that are new or changed. */
+  takeInbox(changes: readonly RowChange[], now: number): readonly BookedJob[] {
+    const touched = new Set<BookedJob>();
+    for (const change of changes) {
+      if (change.kind === "removed") continue;
+      const cancelled = cancelledJob(change.row.key);
+      const job = cancelled === undefined
+        ? this.#accept(change.row, now)
+        : this.#cancel(cancelled, now);
+      if (job !== undefined) touched.add(job);
+    }
+    return [...touched];
+  }
+
+  /** Replaces a job's progress. */
+  update(job: BookedJob, progress: Progress, now: number): void {
+    if (progress === job.progress) return;
+    job.progress = progress;
+    this.dirty.add(job.spec.id);
+    this.#note(job, now);
+  }
+
+  /** Opens the occurrences whose time has come. */
+  openDue(job: BookedJob, wall: number, now: number): void {
+    const { spec } = job;
+    while (
+      !isFinal(job.progress.phase) &&
+      job.progress.nextOccurrence < occurrenceCount(spec) &&
+      wall >= dueAt(spec, job.progress.nextOccurrence)
+    ) {
+      job.progress = openOccurrence(job.progress, spec);
+      this.#note(job, now);
+    }
+  }
+
+  /** Remembers that a task failed or stood still at an endpoint. */
+  noteFailure(job: BookedJob, ref: TaskRef, endpoint: string): void {
+    const name = taskName(job.spec.id, ref);
+    const known = job.failedAt.get(name) ?? new Set();
+    job.failedAt.set(name, known.add(endpoint));
+  }
+
+  /** Number of jobs without a started task, by queue. */
+  waiting(): Record<string, number> {
+    const counts: Record<string, number> = {};
+    for (const id of this.active) {
+      const job = this.jobs.get(id);
+      if (job === undefined || hasBegun(job.progress)) continue;
+      counts[job.spec.queue] = (counts[job.spec.queue] ?? 0) + 1;
+    }
+    return counts;
+  }
+
+  /** The stored form of a job's progress. */
+  encoded(id: string): string | undefined {
+    const job = this.jobs.get(id);
+    return job && encodeProgress(job.progress);
+  }
+
+  /** Jobs that have been final for `ageMs`. */
+  expired(now: number, ageMs: number): readonly string[] {
+    return [...this.jobs.values()]
+      .filter((j) => j.finalAt !== undefined && now - j.finalAt > ageMs)
+      .map((j) => j.spec.id);
+  }
+
+  /** Forgets a job whose rows were removed. */
+  forget(id: string): void {
+    this.jobs.delete(id);
+    this.dirty.delete(id);
+    this.active.delete(id);
+    this.#cancelled.delete(id);
+  }
+
+  #accept(row: Row, now: number): BookedJob | undefined {
+    if (this.jobs.has(row.key)) return undefined;
+    const spec = parseJson(jobSpecSchema, row.value);
+    if (spec === undefined) return undefined;
+    const stored = this.#stored.get(row.key);
+    const found = stored === undefined
+      ? undefined
+      : decodeProgress(stored, spec);
+    this.#stored.delete(row.key);
+    const job: BookedJob = {
+      spec,
+      progress: found ?? freshProgress,
+      failedAt: new Map(),
+      finalAt: undefined,
+    };
+    this.jobs.set(spec.id, job);
+    this.#note(job, now);
+    if (this.#cancelled.has(spec.id)) this.#cancel(spec.id, now);
+    return job;
+  }
+
+  #cancel(id: string, now: number): BookedJob | undefined {
+    const job = this.jobs.get(id);
+    if (job === undefined) {
+      this.#cancelled.add(id);
+      return undefined;
+    }
+    this.update(job, cancelJob(job.progress), now);
+    return job;
+  }
+
+  #note(job: BookedJob, now: number): void {
+    const { id } = job.spec;
+    if (!isFinal(job.progress.phase)) {
+      this.active.add(id);
+      return;
+    }
+    this.active.delete(id);
+    job.finalAt ??= now;
+  }
+}
--- /dev/null
+++ b/src/scheduler/place.ts
@@ -0,0 +1,90 @@
+/**
+ * Where a waiting task goes: the endpoints that may run it, best first.
+ *
+ * An endpoint that lacks the room, the label, or the right to run more of the
+ * step is left out. Among the others an endpoint in the rack of the task's
+ * data goes first, then one with few recent failures, then the one with the
+ * largest share of its processor free, which keeps tasks from disturbing one
+ * another and spreads what a dying host takes with it.
+ */
+import type { Resources, StepSpec } from "../batch/index.ts";
+
+/** What the choice looks at. */
+export interface Candidate {
+  readonly id: string;
+  readonly labels: readonly string[];
+  readonly capacity: Resources;
+  readonly used: Resources;
+  /** Tasks of the same step and occurrence there. */
+  readonly sameStep: number;
+  /** Whether the task has failed there before. */
+  readonly failedHere: boolean;
+  /** Suspicion of the endpoint, 0 for none to 1. */
+  readonly suspicion: number;
+}
+
+/** Room that a task takes from its endpoint. */
+export function roomOf(step: StepSpec): Resources {
+  return step.filler ? { ...step.demand, cpuMillis: 0 } : step.demand;
+}
+
+/** Sum of two amounts. */
+export function addResources(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: a.cpuMillis + b.cpuMillis,
+    memoryMb: a.memoryMb + b.memoryMb,
+    gpus: a.gpus + b.gpus,
+  };
+}
+
+/** Difference of two amounts. */
+export function subtractResources(a: Resources, b: Resources): Resources {
+  return {
+    cpuMillis: a.cpuMillis - b.cpuMillis,
+    memoryMb: a.memoryMb - b.memoryMb,
+    gpus: a.gpus - b.gpus,
+  };
+}
+
+/** Whether a candidate may run a task of the step now. */
+export function isEligible(step: StepSpec, c: Candidate): boolean {
+  if (step.label !== "" && !c.labels.includes(step.label)) return false;
+  if (step.maxPerEndpoint > 0 && c.sameStep >= step.maxPerEndpoint) {
+    return false;
+  }
+  const free = subtractResources(c.capacity, c.used);
+  const need = roomOf(step);
+  return need.cpuMillis <= free.cpuMillis && need.memoryMb <= free.memoryMb &&
+    need.gpus <= free.gpus;
+}
+
+/** The rack where a rack-local step already runs, if any. */
+export type PreferredRack = string | undefined;
+
+function score(step: StepSpec, rack: PreferredRack, c: Candidate): number {
+  const wanted = step.rack === "" ? rack : step.rack;
+  const elsewhere = wanted !== undefined && !c.labels.includes(wanted) ? 4 : 0;
+  const failed = c.failedHere ? 8 : 0;
+  const total = Math.max(1, c.capacity.cpuMillis);
+  const load = c.used.cpuMillis / total;
+  const spread = c.sameStep / Math.max(1, step.count);
+  return failed + 6 * c.suspicion + elsewhere + load + spread;
+}
+
+/** The best eligible candidate; undefined when there is none. */
+export function choosePlace(
+  step: StepSpec,
+  candidates: readonly Candidate[],
+  rack?: PreferredRack,
+): Candidate | undefined {
+  let best: Candidate | undefined;
+  let bestScore = Infinity;
+  for (const candidate of candidates) {
+    if (!isEligible(step, candidate)) continue;
+    const s = score(step, rack, candidate);
+    if (s >= bestScore) continue;
+    best = candidate;
+    bestScore = s;
+  }
+  return best;
+}
--- /dev/null
+++ b/src/scheduler/shard_owner.ts
@@ -0,0 +1,378 @@
+/**
+ * Owner of one shard: takes over the jobs and the endpoints of a pool, starts
+ * tasks, records their ends, and keeps their leases.
+ *
+ * The order of effects is what makes it safe. An intent is committed before
+ * its start is sent. An end is committed before the endpoint may forget it.
+ * A task whose run may still be under way gets no further run: the run is
+ * found in the endpoint's lists, or stopped, or its lease runs out first.
+ */
+import { ActorSystem } from "../actors/index.ts";
+import {
+  beginJob,
+  cancelKey,
+  countsKey,
+  endRun,
+  inboxKey,
+  inboxTable,
+  isFinal,
+  nextRun,
+  placedTasks,
+  placeTask,
+  progressKey,
+  progressRange,
+  type RunEnd,
+  saveCheckpoint,
+  taskAt,
+  taskName,
+  type TaskRef,
+} from "../batch/index.ts";
+import type { Clock } from "../clock/index.ts";
+import type { CommitFailure, ShardLease } from "../cluster/index.ts";
+import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import {
+  type Row,
+  type RowChange,
+  type Store,
+  TableWatch,
+} from "../store/index.ts";
+import type { VacateState } from "../upkeep/index.ts";
+import { Caretaker } from "./caretaker.ts";
+import { CommitQueue } from "./commit_queue.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import { EndpointDriver } from "./endpoint_driver.ts";
+import type { Run } from "./endpoint_session.ts";
+import { type BookedJob, JobBook } from "./job_book.ts";
+import { planStarts } from "./planner.ts";
+
+/** How long a poll of the inbox waits for a new job, in ms. */
+const inboxWaitMs = 1_000;
+
+/** Pause after a failed poll, in ms. */
+const inboxRetryMs = 200;
+
+/** Time between two passes over what is due, stalled or draining, in ms. */
+const carePeriodMs = 200;
+
+/** Least time between two passes of placement, in ms. */
+const planSpacingMs = 10;
+
+/** Longest time without a commit; a commit shows whether the shard is lost. */
+const renewMs = 1_500;
+
+/** Least time between two writes of the waiting counts, in ms. */
+const countsPeriodMs = 700;
+
+/** How long a final job can be asked for, in ms. */
+const keepFinalMs = 150_000;
+
+/** What an owner works with. */
+export interface ShardParts {
+  readonly shard: string;
+  readonly lease: ShardLease;
+  readonly store: Store;
+  readonly orders: TaskOrders;
+  readonly registry: EndpointRegistry;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  /** Endpoints whose host is due for maintenance, by id. */
+  readonly vacating: () => ReadonlyMap<string, VacateState>;
+  readonly crashed: (actor: string, err: unknown) => void;
+  /** Called once when the shard belongs to another owner. */
+  readonly lost: () => void;
+}
+
+/** The running owner of a shard. */
+export class ShardOwner {
+  readonly book = new JobBook();
+  readonly commits: CommitQueue;
+  readonly driver: EndpointDriver;
+  readonly #caretaker: Caretaker;
+  readonly #actors: ActorSystem;
+  readonly #inbox: TableWatch;
+  #unsubscribe: () => void = () => {};
+  #planWanted = false;
+  #lastPlanAt = -Infinity;
+  #counts = "";
+  #countsAt = -Infinity;
+  #stopped = false;
+
+  constructor(private readonly parts: ShardParts) {
+    const { shard, clock, store, lease } = parts;
+    this.#actors = new ActorSystem(clock, parts.crashed);
+    this.commits = new CommitQueue(lease, clock, {
+      dirty: this.book.dirty,
+      put: (id) => {
+        const value = this.book.encoded(id);
+        return value === undefined
+          ? undefined
+          : { ...progressKey(shard, id), value };
+      },
+    }, (failure) => this.#commitFailed(failure));
+    this.driver = new EndpointDriver({
+      ...parts,
+      ended: (run, end, checkpoint) => this.#runEnded(run, end, checkpoint),
+      endedElsewhere: (job, ref, run, end, checkpoint) =>
+        this.#applyEnd(job, ref, run, end, checkpoint),
+      mayStart: (run) => this.#isWanted(run),
+      begun: (run) => this.#begun(run),
+      endedLives: () => this.#endedLives(),
+      afterCommit: (action) => this.commits.then(action),
+      changed: () => this.wantPlan(),
+      fenced: () => this.#lose("fenced by an endpoint"),
+    });
+    this.#caretaker = new Caretaker({
+      ...parts,
+      book: this.book,
+      driver: this.driver,
+      report: (row) => this.commits.put(row),
+      retract: (row) => this.commits.remove(row),
+    });
+    this.#inbox = new TableWatch(store, inboxTable(shard), shard, {
+      reset: (rows) => this.#readInbox(rows),
+      changed: (changes) => this.#takeInbox(changes),
+    });
+  }
+
+  /** Whether the stored state has been read and nothing is pending. */
+  get isLoaded(): boolean {
+    return this.#inbox.isFollowing;
+  }
+
+  /** Reads the stored state and starts the loops; false when it can't. */
+  async start(): Promise<boolean> {
+    const { store, shard, registry } = this.parts;
+    const stored = await store.range(progressRange(shard));
+    if (stored.err || this.#stopped) return false;
+    this.book.loadProgress(stored.val.rows);
+    const read = await this.#inbox.poll(0);
+    if (read.err || this.#stopped) return false;
+    this.#unsubscribe = registry.onChange(() => this.#refreshEndpoints());
+    this.#adoptPlacements();
+    this.#refreshEndpoints();
+    this.#actors.loop("inbox", () => this.#followInbox());
+    this.#actors.loop("care", () => this.#care());
+    return true;
+  }
+
+  /** Stops ordering; what runs goes on under its leases. */
+  stop(): void {
+    this.#stopped = true;
+    this.#unsubscribe();
+    this.#actors.stop();
+    this.driver.stop();
+    this.commits.stop();
+  }
+
+  /** Stops and gives the shard up, so that another entry takes it at once. */
+  async release(): Promise<void> {
+    this.stop();
+    await this.commits.drain();
+    if (!this.parts.lease.isLost) await this.parts.lease.release();
+  }
+
+  /** Asks for a pass of placement soon. */
+  wantPlan(): void {
+    if (this.#planWanted || this.#stopped) return;
+    this.#planWanted = true;
+    const { clock } = this.parts;
+    const wait = Math.max(0, this.#lastPlanAt + planSpacingMs - clock.now());
+    clock.after(wait, () => this.#plan());
+  }
+
+  #readInbox(rows: readonly Row[]): void {
+    this.#takeInbox(rows.map((row) => ({ kind: "put", row })));
+  }
+
+  #takeInbox(changes: readonly RowChange[]): void {
+    const { clock, log, shard } = this.parts;
+    for (const job of this.book.takeInbox(changes, clock.now())) {
+      this.book.openDue(job, clock.wall(), clock.now());
+      log.decision("job-taken", {
+        job: job.spec.id,
+        shard,
+        phase: job.progress.phase,
+        term: this.parts.lease.term,
+      });
+      if (isFinal(job.progress.phase)) this.driver.stopJob(job.spec.id);
+    }
+    this.wantPlan();
+  }
+
+  /** Takes over the runs that an earlier owner may have started. */
+  #adoptPlacements(): void {
+    for (const job of this.book.jobs.values()) {
+      for (const { ref, placement } of placedTasks(job.progress)) {
+        this.driver.adopt(job.spec, ref, placement);
+      }
+    }
+  }
+
+  #refreshEndpoints(): void {
+    this.driver.refresh();
+    this.wantPlan();
+  }
+
+  async #followInbox(): Promise<number> {
+    const polled = await this.#inbox.poll(inboxWaitMs);
+    return polled.err ? inboxRetryMs : 0;
+  }
+
+  #care(): Promise<number> {
+    const { clock, lease } = this.parts;
+    const now = clock.now();
+    const wall = clock.wall();
+    for (const id of this.book.active) {
+      const job = this.book.jobs.get(id);
+      if (job?.spec.schedule !== undefined) this.book.openDue(job, wall, now);
+    }
+    this.#caretaker.pass();
+    this.#expireJobs(now);
+    this.#writeCounts(now);
+    if (lease.ageMs > renewMs) this.commits.flush();
+    this.wantPlan();
+    return Promise.resolve(carePeriodMs);
+  }
+
+  #plan(): void {
+    this.#planWanted = false;
+    if (this.#stopped) return;
+    const { clock } = this.parts;
+    const now = clock.now();
+    this.#lastPlanAt = now;
+    const jobs = [...this.book.active]
+      .map((id) => this.book.jobs.get(id)).filter((job) => job !== undefined);
+    const vacating = this.parts.vacating();
+    const sessions = this.driver.sessions()
+      .filter((s) => !vacating.has(s.endpoint.id));
+    const time = { now, wall: clock.wall() };
+    const planned = planStarts(jobs, sessions, time);
+    // Gang members share a run, so numbers are drawn before any is placed.
+    const runs = planned.map(({ job, ref }) =>
+      nextRun(job.progress, job.spec, ref)
+    );
+    planned.forEach(({ job, ref, endpoint }, i) =>
+      this.#place(job, ref, endpoint, runs[i])
+    );
+  }
+
+  #place(job: BookedJob, ref: TaskRef, id: string, run: number): void {
+    const { clock, log, shard, lease } = this.parts;
+    const session = this.driver.session(id);
+    if (session === undefined) return;
+    const { life } = session.endpoint;
+    const placement = { run, endpoint: id, life };
+    const progress = placeTask(job.progress, ref, placement);
+    this.book.update(job, progress, clock.now());
+    const checkpoint = taskAt(progress, ref)?.checkpoint ?? "";
+    log.decision("task-placed", {
+      job: job.spec.id,
+      task: taskName(job.spec.id, ref),
+      run,
+      endpoint: id,
+      shard,
+      term: lease.term,
+      ageMs: Math.round(clock.wall() - job.spec.acceptedAt),
+    });
+    const started = this.driver.intend(session, job.spec, ref, run, checkpoint);
+    this.commits.then(() => this.driver.start(session, started));
+  }
+
+  /** Whether a run that was intended should still start. */
+  #isWanted(run: Run): boolean {
+    const job = this.book.jobs.get(run.job);
+    if (job === undefined || isFinal(job.progress.phase)) return false;
+    return taskAt(job.progress, run.ref)?.placement?.run === run.run;
+  }
+
+  /** The next write of the job carries it; it needs none of its own. */
+  #begun(run: Run): void {
+    const job = this.book.jobs.get(run.job);
+    if (job !== undefined) job.progress = beginJob(job.progress);
+  }
+
+  #endedLives(): ReadonlySet<string> {
+    const down = [...this.parts.vacating()].filter(([, s]) => s === "down");
+    return new Set(down.map(([id]) => id));
+  }
+
+  #runEnded(run: Run, end: RunEnd, checkpoint: string): void {
+    this.#applyEnd(
+      run.job,
+      run.ref,
+      run.run,
+      end,
+      checkpoint || run.checkpoint,
+    );
+  }
+
+  #applyEnd(
+    id: string,
+    ref: TaskRef,
+    run: number,
+    end: RunEnd,
+    checkpoint: string,
+  ): void {
+    const job = this.book.jobs.get(id);
+    if (job === undefined) return;
+    const { clock, log, shard } = this.parts;
+    const placed = taskAt(job.progress, ref)?.placement;
+    if (end === "failed" && placed?.run === run) {
+      this.book.noteFailure(job, ref, placed.endpoint);
+    }
+    const saved = saveCheckpoint(job.progress, ref, run, checkpoint);
+    const next = endRun(saved, job.spec, ref, run, end, checkpoint);
+    this.book.update(job, next, clock.now());
+    log.decision("task-ended", {
+      job: id,
+      task: taskName(id, ref),
+      run,
+      end,
+      shard,
+      phase: next.phase,
+      known: placed?.run === run,
+    });
+    if (isFinal(next.phase)) this.driver.stopJob(id);
+    else this.driver.stopOtherRuns(taskName(id, ref), run, end);
+    this.wantPlan();
+  }
+
+  #expireJobs(now: number): void {
+    const { shard } = this.parts;
+    for (const id of this.book.expired(now, keepFinalMs)) {
+      this.book.forget(id);
+      this.commits.remove(inboxKey(shard, id));
+      this.commits.remove(cancelKey(shard, id));
+      this.commits.remove(progressKey(shard, id));
+    }
+  }
+
+  #writeCounts(now: number): void {
+    if (now - this.#countsAt < countsPeriodMs) return;
+    const value = JSON.stringify(this.book.waiting());
+    if (value === this.#counts) return;
+    this.#counts = value;
+    this.#countsAt = now;
+    this.commits.put({ ...countsKey(this.parts.shard), value });
+  }
+
+  #commitFailed(failure: CommitFailure): void {
+    const { log, shard, lease } = this.parts;
+    log.decision("commit-failed", {
+      shard,
+      term: lease.term,
+      reason: failure.kind,
+      message: failure.message,
+      ageMs: Math.round(lease.ageMs),
+    });
+    if (failure.kind === "lost") this.#lose(failure.message);
+  }
+
+  #lose(reason: string): void {
+    if (this.#stopped) return;
+    const { log, shard, lease } = this.parts;
+    log.decision("shard-lost", { shard, term: lease.term, reason });
+    this.stop();
+    this.parts.lost();
+  }
+}
--- /dev/null
+++ b/src/service/batch_service.ts
@@ -0,0 +1,161 @@
+/**
+ * One entry's part in running batch jobs: follows the operator's table and
+ * the registered endpoints, takes its share of the shards, and accepts jobs.
+ *
+ * All entries are equal. What must last or be agreed is in the store.
+ */
+import { ActorSystem } from "../actors/index.ts";
+import type { CatalogHolder } from "../catalog/index.ts";
+import { type Clock, delay } from "../clock/index.ts";
+import type { Holder } from "../cluster/index.ts";
+import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import { Intake } from "../intake/index.ts";
+import type { DecisionLog } from "../scheduler/index.ts";
+import { type Store, TableWatch } from "../store/index.ts";
+import {
+  decodeVacate,
+  fleetShard,
+  type HostControl,
+  type VacateState,
+  vacateTable,
+  type WaveBoard,
+} from "../upkeep/index.ts";
+import { ShardKeeper } from "./shard_keeper.ts";
+
+/** How long a poll of the endpoints to empty waits, in ms. */
+const vacateWaitMs = 2_000;
+
+/** Pause after a failed poll, in ms. */
+const pollRetryMs = 200;
+
+/** Time without an answer of the store after which callers go elsewhere. */
+const storeSilenceMs = 3_000;
+
+/** Time for which callers are still served after a shutdown began, in ms. */
+const lameDuckMs = 2_600;
+
+/** A table of the store that the entry follows. */
+export interface FollowedTable {
+  readonly name: string;
+  readonly watch: TableWatch;
+  /** How long a poll waits for a change, in ms. */
+  readonly waitMs: number;
+  /** Pause between two polls, in ms, so that frequent changes are batched. */
+  readonly pauseMs: number;
+}
+
+/** What the service works with. */
+export interface ServiceParts {
+  readonly self: Holder & { readonly zone: string };
+  readonly store: Store;
+  readonly orders: TaskOrders;
+  readonly control: HostControl;
+  readonly board: WaveBoard;
+  readonly catalog: CatalogHolder;
+  readonly registry: EndpointRegistry;
+  readonly followed: readonly FollowedTable[];
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly crashed: (actor: string, err: unknown) => void;
+  /** Least time between host orders of two holders, in ms. */
+  readonly handoverMs: number;
+}
+
+/** Runs batch jobs. */
+export class BatchService {
+  readonly intake: Intake;
+  readonly #actors: ActorSystem;
+  readonly #shards: ShardKeeper;
+  readonly #vacating = new Map<string, VacateState>();
+  readonly #silentTables = new Set<string>();
+  #storeSeenAt: number;
+  #stopping = false;
+
+  constructor(private readonly parts: ServiceParts) {
+    const { clock, store } = parts;
+    this.intake = new Intake(store, clock);
+    this.#storeSeenAt = clock.now();
+    this.#actors = new ActorSystem(clock, parts.crashed);
+    this.#shards = new ShardKeeper({
+      ...parts,
+      vacating: () => this.#vacating,
+      isFollowing: () => parts.followed.every((f) => f.watch.isFollowing),
+      storeSeen: () => {
+        this.#storeSeenAt = clock.now();
+      },
+    });
+  }
+
+  /** Whether callers should come here. */
+  get isReady(): boolean {
+    const { clock, catalog } = this.parts;
+    return !this.#stopping && catalog.current !== undefined &&
+      clock.now() - this.#storeSeenAt < storeSilenceMs;
+  }
+
+  /** Number of shards that this entry owns. */
+  get ownedShards(): number {
+    return this.#shards.size;
+  }
+
+  /** Starts the loops. */
+  start(): void {
+    for (const table of this.parts.followed) {
+      this.#actors.loop(table.name, () => this.#follow(table));
+    }
+    const vacate = new TableWatch(this.parts.store, vacateTable, fleetShard, {
+      reset: (rows) => {
+        this.#vacating.clear();
+        for (const row of rows) {
+          this.#vacating.set(row.key, decodeVacate(row.value));
+        }
+      },
+      changed: (changes) => {
+        for (const change of changes) {
+          const { key } = change.row;
+          if (change.kind === "removed") this.#vacating.delete(key);
+          else this.#vacating.set(key, decodeVacate(change.row.value));
+        }
+      },
+    });
+    this.#actors.loop(
+      "vacate",
+      () =>
+        this.#follow({
+          name: "vacate",
+          watch: vacate,
+          waitMs: vacateWaitMs,
+          pauseMs: 100,
+        }),
+    );
+    this.#actors.loop("members", () => this.#shards.pass());
+  }
+
+  /** Hands the shards over; callers are served until they have left. */
+  async shutdown(): Promise<void> {
+    this.#stopping = true;
+    await Promise.all([
+      this.#shards.release(),
+      delay(this.parts.clock, lameDuckMs),
+    ]);
+    this.#actors.stop();
+  }
+
+  async #follow(table: FollowedTable): Promise<number> {
+    const polled = await table.watch.poll(table.waitMs);
+    const { clock, log } = this.parts;
+    if (polled.ok) {
+      this.#storeSeenAt = clock.now();
+      if (this.#silentTables.delete(table.name)) {
+        log.decision("table-back", { table: table.name });
+      }
+      return table.pauseMs;
+    }
+    const { kind, message } = polled.val;
+    if (kind !== "expired" && !this.#silentTables.has(table.name)) {
+      this.#silentTables.add(table.name);
+      log.decision("table-lost", { table: table.name, kind, message });
+    }
+    return kind === "expired" ? 0 : pollRetryMs;
+  }
+}
--- /dev/null
+++ b/src/service/shard_keeper.ts
@@ -0,0 +1,255 @@
+/**
+ * Decides with the other entries, through the store, which shards this entry
+ * owns, and runs their owners.
+ */
+import type { CatalogHolder } from "../catalog/index.ts";
+import type { Clock } from "../clock/index.ts";
+import {
+  assignShards,
+  type Holder,
+  type Member,
+  memberLeaseMs,
+  MemberView,
+  readOwner,
+  ShardLease,
+  shardToRelease,
+} from "../cluster/index.ts";
+import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import { type DecisionLog, ShardOwner } from "../scheduler/index.ts";
+import type { Store } from "../store/index.ts";
+import {
+  fleetShard,
+  type HostControl,
+  type VacateState,
+  type WaveBoard,
+  WaveKeeper,
+} from "../upkeep/index.ts";
+
+/** Time between two heartbeats, in ms; five fit into a member's lease. */
+const heartbeatMs = 500;
+
+/** Time after the start before shards are taken, so that all members show. */
+const settleMs = 800;
+
+/** Least time between two releases for the sake of balance, in ms. */
+const rebalanceMs = 5_000;
+
+const membersTable = "members";
+const membersPartition = "members";
+
+/** What the keeper works with. */
+export interface ShardKeeperParts {
+  readonly self: Holder & { readonly zone: string };
+  readonly store: Store;
+  readonly orders: TaskOrders;
+  readonly control: HostControl;
+  readonly board: WaveBoard;
+  readonly catalog: CatalogHolder;
+  readonly registry: EndpointRegistry;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly crashed: (actor: string, err: unknown) => void;
+  readonly handoverMs: number;
+  readonly vacating: () => ReadonlyMap<string, VacateState>;
+  /** Whether the operator's table and the endpoints have been read. */
+  readonly isFollowing: () => boolean;
+  /** Called after each answer of the store. */
+  readonly storeSeen: () => void;
+}
+
+/** Something that runs while a shard is owned. */
+interface OwnedShard {
+  stop(): void;
+  release(): Promise<void>;
+}
+
+/** Owner rows as last seen, to tell a silent holder from a live one. */
+interface OwnerSighting {
+  readonly version: number;
+  readonly seenAt: number;
+}
+
+/** Runs the shards that this entry owns. */
+export class ShardKeeper {
+  readonly #owned = new Map<string, OwnedShard>();
+  readonly #taking = new Set<string>();
+  readonly #sightings = new Map<string, OwnerSighting>();
+  readonly #startedAt: number;
+  #view = MemberView.empty;
+  #releasedAt: number;
+  #stopping = false;
+
+  constructor(private readonly parts: ShardKeeperParts) {
+    this.#startedAt = parts.clock.now();
+    this.#releasedAt = this.#startedAt;
+  }
+
+  get size(): number {
+    return this.#owned.size;
+  }
+
+  /** One heartbeat; returns the time until the next, in ms. */
+  async pass(): Promise<number> {
+    const { clock, store } = this.parts;
+    const startedAt = clock.now();
+    const [, read] = await Promise.all([
+      this.#heartbeat(),
+      store.range({ table: membersTable, partition: membersPartition }),
+    ]);
+    if (read.ok && !this.#stopping) {
+      this.parts.storeSeen();
+      this.#view = this.#view.observe(read.val.rows, clock.now());
+      if (clock.now() - this.#startedAt > settleMs) this.#claim();
+    }
+    return Math.max(0, startedAt + heartbeatMs - clock.now());
+  }
+
+  /** Gives all shards up. */
+  async release(): Promise<void> {
+    this.#stopping = true;
+    const owned = [...this.#owned.values()];
+    this.#owned.clear();
+    await Promise.all(owned.map((shard) => shard.release()));
+    await this.#heartbeat();
+  }
+
+  async #heartbeat(): Promise<void> {
+    const { store, log } = this.parts;
+    const key = {
+      table: membersTable,
+      partition: membersPartition,
+      key: this.parts.self.entry,
+    };
+    const value = JSON.stringify(this.#describe());
+    const sent = await store.commit({
+      checks: [],
+      puts: [{ ...key, value }],
+      removes: [],
+    });
+    if (sent.ok) this.parts.storeSeen();
+    else log.decision("heartbeat-failed", { message: sent.val.message });
+  }
+
+  #describe(): Member {
+    const { entry, boot, zone } = this.parts.self;
+    const shards = [...this.#owned.keys()];
+    return { entry, boot, zone, shards, accepting: !this.#stopping };
+  }
+
+  #claim(): void {
+    const { self, clock, catalog, isFollowing } = this.parts;
+    if (catalog.current === undefined || !isFollowing()) return;
+    const others = this.#view.live(clock.now())
+      .filter((m) => m.entry !== self.entry);
+    const members = [...others, this.#describe()];
+    const pools = catalog.current.pools.map((pool) => pool.name);
+    const assigned = assignShards([fleetShard, ...pools], members);
+    for (const [shard, entry] of assigned) {
+      if (entry === self.entry && !this.#taking.has(shard)) {
+        this.#take(shard, members);
+      }
+    }
+    this.#balance(members);
+  }
+
+  #balance(members: readonly Member[]): void {
+    const { self, clock, log } = this.parts;
+    if (clock.now() - this.#releasedAt < rebalanceMs) return;
+    const shard = shardToRelease(self.entry, members);
+    const owned = shard === undefined ? undefined : this.#owned.get(shard);
+    if (shard === undefined || owned === undefined) return;
+    this.#releasedAt = clock.now();
+    this.#owned.delete(shard);
+    log.decision("shard-released", { shard, reason: "balance" });
+    owned.release().then(() => this.#heartbeat());
+  }
+
+  async #take(shard: string, members: readonly Member[]): Promise<void> {
+    const { store, self, clock, log } = this.parts;
+    this.#taking.add(shard);
+    try {
+      const row = await readOwner(store, shard);
+      if (row.err || this.#stopping) return;
+      const { owner, version } = row.val;
+      const boots = new Set(members.map((m) => m.boot));
+      const held = owner !== undefined && owner.boot !== self.boot &&
+        boots.has(owner.boot);
+      if (held && !this.#isSilent(shard, version)) return;
+      const lease = await ShardLease.acquire(
+        store,
+        clock,
+        shard,
+        { entry: self.entry, boot: self.boot },
+        row.val,
+      );
+      if (lease === undefined || this.#stopping) return;
+      log.decision("shard-taken", {
+        shard,
+        term: lease.term,
+        from: owner?.entry,
+        version,
+      });
+      await this.#run(shard, lease);
+    } finally {
+      this.#taking.delete(shard);
+    }
+  }
+
+  /** Whether a live member's owner row has stood still for a whole lease. */
+  #isSilent(shard: string, version: number): boolean {
+    const now = this.parts.clock.now();
+    const seen = this.#sightings.get(shard);
+    if (seen?.version !== version) {
+      this.#sightings.set(shard, { version, seenAt: now });
+      return false;
+    }
+    return now - seen.seenAt > memberLeaseMs;
+  }
+
+  async #run(shard: string, lease: ShardLease): Promise<void> {
+    if (shard === fleetShard) {
+      this.#owned.set(shard, this.#runFleet(lease));
+      return;
+    }
+    const owner = new ShardOwner({
+      ...this.parts,
+      shard,
+      lease,
+      lost: () => this.#dropped(shard, owner),
+    });
+    this.#owned.set(shard, owner);
+    if (await owner.start()) {
+      this.#heartbeat();
+      return;
+    }
+    owner.stop();
+    this.#dropped(shard, owner);
+  }
+
+  #runFleet(lease: ShardLease): OwnedShard {
+    const { parts } = this;
+    const keeper = new WaveKeeper({ ...parts, entry: parts.self.entry, lease });
+    let stopped = false;
+    const owned: OwnedShard = {
+      stop: () => {
+        stopped = true;
+      },
+      release: async () => {
+        stopped = true;
+        await lease.release();
+      },
+    };
+    const tick = async (): Promise<void> => {
+      if (stopped) return;
+      const pause = await keeper.pass();
+      if (lease.isLost) this.#dropped(fleetShard, owned);
+      else parts.clock.after(pause, tick);
+    };
+    tick();
+    return owned;
+  }
+
+  #dropped(shard: string, owner: OwnedShard): void {
+    if (this.#owned.get(shard) === owner) this.#owned.delete(shard);
+  }
+}
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -5,3 +5,9 @@
   type Settings,
   settingsSchema,
 } from "./settings.ts";
+export {
+  type BatchSettings,
+  batchSettingsSchema,
+  loadBatchSettings,
+  parseBatchSettings,
+} from "./batch_settings.ts";
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -11,17 +11,20 @@
   type Issue,
 } from "../errors/index.ts";
 
-const addressText = "an IP address and a port, such as 127.0.0.1:8080";
-const address = v.pipe(
+export const addressText = "an IP address and a port, such as 127.0.0.1:8080";
+export const address = v.pipe(
   v.string(addressText),
   v.regex(/^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-f:]+\]):\d{1,5}$/i, addressText),
 );
-const idText = "1 to 48 of a-z, 0-9 and -";
-const id = v.pipe(v.string(idText), v.regex(/^[a-z0-9-]{1,48}$/, idText));
+export const idText = "1 to 48 of a-z, 0-9 and -";
+export const id = v.pipe(
+  v.string(idText),
+  v.regex(/^[a-z0-9-]{1,48}$/, idText),
+);
 const tokenText = "at least 16 characters";
 const token = v.pipe(v.string(tokenText), v.minLength(16, tokenText));
 
-function whole(min: number, max: number, fallback: number) {
+export function whole(min: number, max: number, fallback: number) {
   const allowed = `a whole number from ${min} to ${max}`;
   const schema = v.pipe(
     v.number(allowed),
@@ -33,7 +36,7 @@
 }
 
 const unexpected = "no such key";
-const section = "a section";
+export const section = "a section";
 
 export const settingsSchema = v.strictObject({
   entry: v.strictObject({ id, zone: id }, section),
@@ -117,22 +120,38 @@
  * `settingsInvalid` and every broken rule at once.
  */
 export function loadSettings(file: string): Result<Settings, Failure> {
+  return loadWith(settingsSchema, file);
+}
+
+/** Parses and checks a settings text. Fails as `loadSettings` does. */
+export function parseSettings(text: string): Result<Settings, Failure> {
+  return parseWith(settingsSchema, text);
+}
+
+/** Reads and checks a settings file by any schema. */
+export function loadWith<T extends v.GenericSchema>(
+  schema: T,
+  file: string,
+): Result<v.InferOutput<T>, Failure> {
   try {
-    return parseSettings(readFileSync(file, "utf8"));
+    return parseWith(schema, readFileSync(file, "utf8"));
   } catch (err) {
     return fail(codes.settingsUnreadable, describeError(err));
   }
 }
 
-/** Parses and checks a settings text. Fails as `loadSettings` does. */
-export function parseSettings(text: string): Result<Settings, Failure> {
+/** Parses and checks a settings text by any schema. */
+export function parseWith<T extends v.GenericSchema>(
+  schema: T,
+  text: string,
+): Result<v.InferOutput<T>, Failure> {
   let raw: unknown;
   try {
     raw = parse(text);
   } catch (err) {
     return fail(codes.settingsUnreadable, `TOML: ${describeError(err)}`);
   }
-  const parsed = v.safeParse(settingsSchema, raw);
+  const parsed = v.safeParse(schema, raw);
   if (parsed.success) return Ok(parsed.output);
   return fail(codes.settingsInvalid, "the settings break the schema", {
     issues: parsed.issues.map(toIssue),
--- /dev/null
+++ b/src/store/index.ts
@@ -0,0 +1,4 @@
+/** The transactional row store that all entries share. */
+export * from "./store.ts";
+export { parseJson } from "./json_row.ts";
+export { TableWatch, type WatchHandler } from "./table_watch.ts";
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -1,3 +1,7 @@
 /** Logs and metrics. */
 export { createLog, type Log, logRequest } from "./log.ts";
 export { createMetrics, type Gauges, type Metrics } from "./metrics.ts";
+export {
+  DecisionWriter,
+  type DecisionWriterOptions,
+} from "./decision_writer.ts";
--- /dev/null
+++ b/src/upkeep/wave_plan.ts
@@ -0,0 +1,133 @@
+/**
+ * What to do next in a wave: which hosts to empty and which to take down.
+ *
+ * A wave takes no more hosts away at once than its time asks for. Idle hosts
+ * go first, and pools take turns, so that no pool misses many at a time.
+ * Hosts are emptied ahead of their turn.
+ */
+import type { ListedHost } from "./host_control.ts";
+
+/** A wave as the operator asked for it. */
+export interface Wave {
+  readonly id: string;
+  readonly hosts: readonly string[];
+  readonly durationMs: number;
+  /** Most hosts of the wave that may be down at once. */
+  readonly maxParallel: number;
+}
+
+/** How far a wave has come. */
+export interface WaveProgress {
+  /** Wall-clock time at which it was first seen, in ms. */
+  readonly startedAt: number;
+  /** Hosts whose maintenance has begun. */
+  readonly begun: readonly string[];
+  /** Hosts whose maintenance has ended, or which have left. */
+  readonly ended: readonly string[];
+}
+
+/** What the plan looks at besides the wave. */
+export interface WaveView {
+  readonly listed: ReadonlyMap<string, ListedHost>;
+  /** Endpoints that were reported empty. */
+  readonly empty: ReadonlySet<string>;
+  /** Endpoints that are being emptied, with the wall-clock time since. */
+  readonly vacating: ReadonlyMap<string, number>;
+  /** Wall-clock time in ms. */
+  readonly now: number;
+}
+
+/** The next steps of a wave. */
+export interface WaveSteps {
+  /** Endpoints to empty. */
+  readonly vacate: readonly string[];
+  /** Hosts to take down now. */
+  readonly begin: readonly string[];
+}
+
+/** Time that a host is away in a wave: emptied, down, and back, in ms. */
+const hostTurnMs = 6_000;
+
+/** Share of a wave's time that the plan fills; the rest is for delays. */
+const plannedShare = 0.75;
+
+/**
+ * Time after which a host that is not empty may be taken down if the wave
+ * would end late otherwise, in ms.
+ */
+const vacateLimitMs = 6_000;
+
+/** Share of its time after which a wave is short of it. */
+const shortOfTime = 0.75;
+
+/** Whether nothing of a wave is left to do. */
+export function isWaveComplete(wave: Wave, progress: WaveProgress): boolean {
+  const ended = new Set(progress.ended);
+  return wave.hosts.every((host) => ended.has(host));
+}
+
+/** Number of hosts that have to be away at once to end in time. */
+export function neededParallel(
+  wave: Wave,
+  progress: WaveProgress,
+  now: number,
+): number {
+  const left = wave.hosts.length - progress.ended.length;
+  const endsAt = progress.startedAt + wave.durationMs * plannedShare;
+  const turns = Math.floor((endsAt - now) / hostTurnMs);
+  return Math.min(wave.maxParallel, Math.ceil(left / Math.max(1, turns)));
+}
+
+/** Hosts left to do: idle ones first, then the pools by turns. */
+function inTurn(
+  hosts: readonly string[],
+  listed: ReadonlyMap<string, ListedHost>,
+): readonly ListedHost[] {
+  const turns = new Map<string, number>();
+  const ordered: { readonly host: ListedHost; readonly turn: number }[] = [];
+  for (const id of hosts) {
+    const host = listed.get(id);
+    if (host?.state !== "up") continue;
+    const turn = turns.get(host.pool) ?? 0;
+    turns.set(host.pool, turn + 1);
+    ordered.push({ host, turn: host.endpoint === "" ? -1 : turn });
+  }
+  return ordered.sort((a, b) => a.turn - b.turn).map(({ host }) => host);
+}
+
+/** Plans the next steps. */
+export function planWave(
+  wave: Wave,
+  progress: WaveProgress,
+  view: WaveView,
+): WaveSteps {
+  const { listed, empty, vacating, now } = view;
+  const begun = new Set(progress.begun);
+  const ended = new Set(progress.ended);
+  const down = progress.begun.filter((host) => !ended.has(host)).length;
+  const left = wave.hosts.filter((host) => !begun.has(host));
+  const late = now - progress.startedAt > wave.durationMs * shortOfTime;
+  const parallel = neededParallel(wave, progress, now);
+  const begin: string[] = [];
+  const vacate: string[] = [];
+  let away = down;
+  for (const { host, endpoint } of inTurn(left, listed)) {
+    const since = vacating.get(endpoint);
+    const waited = since !== undefined && now - since > vacateLimitMs && late;
+    const isEmpty = endpoint === "" || empty.has(endpoint);
+    const mayBegin = down + begin.length < wave.maxParallel;
+    if ((isEmpty || waited) && mayBegin) {
+      begin.push(host);
+      away++;
+    } else if (since !== undefined) {
+      away++;
+    }
+  }
+  for (const { endpoint } of inTurn(left, listed)) {
+    if (away >= parallel) break;
+    if (endpoint === "" || vacating.has(endpoint)) continue;
+    vacate.push(endpoint);
+    away++;
+  }
+  return { vacate, begin };
+}
