--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -36,9 +36,10 @@
   type Store,
   TableWatch,
 } from "../store/index.ts";
-import type { VacateState } from "../upkeep/index.ts";
+import { demandKey, type VacateState } from "../upkeep/index.ts";
 import { Caretaker } from "./caretaker.ts";
 import { CommitQueue } from "./commit_queue.ts";
+import { poolDemand } from "./demand.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import { EndpointDriver } from "./endpoint_driver.ts";
 import type { Run } from "./endpoint_session.ts";
@@ -63,6 +64,9 @@
 /** Least time between two writes of the waiting counts, in ms. */
 const countsPeriodMs = 700;
 
+/** Least time between two writes of the demand, in ms. */
+const demandPeriodMs = 250;
+
 /** How long a final job can be asked for, in ms. */
 const keepFinalMs = 150_000;
 
@@ -95,6 +99,8 @@
   #lastPlanAt = -Infinity;
   #counts = "";
   #countsAt = -Infinity;
+  #demand = "";
+  #demandAt = -Infinity;
   #stopped = false;
 
   constructor(private readonly parts: ShardParts) {
@@ -229,6 +235,7 @@
     this.#caretaker.pass();
     this.#expireJobs(now);
     this.#writeCounts(now);
+    this.#writeDemand(now);
     if (lease.ageMs > renewMs) this.commits.flush();
     this.wantPlan();
     return Promise.resolve(carePeriodMs);
@@ -240,8 +247,7 @@
     const { clock } = this.parts;
     const now = clock.now();
     this.#lastPlanAt = now;
-    const jobs = [...this.book.active]
-      .map((id) => this.book.jobs.get(id)).filter((job) => job !== undefined);
+    const jobs = this.#activeJobs();
     const vacating = this.parts.vacating();
     const sessions = this.driver.sessions()
       .filter((s) => !vacating.has(s.endpoint.id));
@@ -356,6 +362,21 @@
     this.commits.put({ ...countsKey(this.parts.shard), value });
   }
 
+  #writeDemand(now: number): void {
+    if (now - this.#demandAt < demandPeriodMs) return;
+    const demand = poolDemand(this.#activeJobs(), this.driver.sessions());
+    const value = JSON.stringify(demand);
+    if (value === this.#demand) return;
+    this.#demand = value;
+    this.#demandAt = now;
+    this.commits.put({ ...demandKey(this.parts.shard), value });
+  }
+
+  #activeJobs(): readonly BookedJob[] {
+    return [...this.book.active]
+      .map((id) => this.book.jobs.get(id)).filter((job) => job !== undefined);
+  }
+
   #commitFailed(failure: CommitFailure): void {
     const { log, shard, lease } = this.parts;
     log.decision("commit-failed", {
--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -18,11 +18,11 @@
 import { type DecisionLog, ShardOwner } from "../scheduler/index.ts";
 import type { Store } from "../store/index.ts";
 import {
+  FleetOwner,
   fleetShard,
   type HostControl,
   type VacateState,
   type WaveBoard,
-  WaveKeeper,
 } from "../upkeep/index.ts";
 
 /** Time between two heartbeats, in ms; five fit into a member's lease. */
@@ -228,7 +228,7 @@
 
   #runFleet(lease: ShardLease): OwnedShard {
     const { parts } = this;
-    const keeper = new WaveKeeper({ ...parts, entry: parts.self.entry, lease });
+    const keeper = new FleetOwner({ ...parts, entry: parts.self.entry, lease });
     let stopped = false;
     const owned: OwnedShard = {
       stop: () => {
--- /dev/null
+++ b/src/upkeep/fleet_owner.ts
@@ -0,0 +1,266 @@
+/**
+ * Owner of the fleet: the one process that orders hosts about, under the
+ * fleet's lease. It carries out maintenance waves and keeps the pools' sizes.
+ */
+import type { CatalogHolder } from "../catalog/index.ts";
+import type { Clock } from "../clock/index.ts";
+import type { ShardLease } from "../cluster/index.ts";
+import type { DecisionLog } from "../scheduler/index.ts";
+import { onlyKey } from "../batch/index.ts";
+import { parseJson, type Store } from "../store/index.ts";
+import type {
+  HostControl,
+  HostOrderOutcome,
+  ListedHost,
+} from "./host_control.ts";
+import {
+  type HostMove,
+  hostsNeeded,
+  NeedHistory,
+  planSizes,
+  type PoolDemand,
+  poolDemandSchema,
+} from "./pool_sizes.ts";
+import {
+  decodeVacate,
+  demandKey,
+  fleetShard,
+  vacatedKey,
+  vacateTable,
+  waveKey,
+} from "./rows.ts";
+import { VacateBook } from "./vacate_book.ts";
+import { type HostListing, type WaveBoard, WaveRunner } from "./wave_runner.ts";
+
+/** Time between two passes, in ms. */
+const passMs = 300;
+
+/** Longest time without a commit; a commit shows whether the fleet is lost. */
+const renewMs = 1_000;
+
+/**
+ * Age of the fleet's last commit from which nothing is ordered, in ms: an
+ * owner that was paused must not order beside its successor.
+ */
+const orderFreshnessMs = 1_000;
+
+/** Time for which a host whose move was rejected is left alone, in ms. */
+const rejectedMoveMs = 2_000;
+
+/** What the owner works with. */
+export interface FleetParts {
+  readonly entry: string;
+  readonly lease: ShardLease;
+  readonly store: Store;
+  readonly control: HostControl;
+  readonly board: WaveBoard;
+  readonly catalog: CatalogHolder;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  /**
+   * Time after the take-over before the first order, in ms, so that orders of
+   * two holders for one host never follow closely.
+   */
+  readonly handoverMs: number;
+}
+
+/** Orders hosts about. */
+export class FleetOwner {
+  readonly #startAt: number;
+  readonly #vacates = new VacateBook();
+  readonly #waves: WaveRunner;
+  readonly #needs = new NeedHistory();
+  /** Steady time until which a host is not moved. */
+  readonly #restUntil = new Map<string, number>();
+  #isLoaded = false;
+
+  constructor(private readonly parts: FleetParts) {
+    const { lease, clock, handoverMs } = parts;
+    this.#startAt = clock.now() + (lease.term > 1 ? handoverMs : 0);
+    this.#waves = new WaveRunner({ ...parts, vacates: this.#vacates });
+  }
+
+  /** One pass; returns the time until the next, in ms. */
+  async pass(): Promise<number> {
+    const { lease, clock, control, log } = this.parts;
+    if (lease.isLost) return passMs;
+    if (!this.#isLoaded && !await this.#load()) return passMs;
+    const askedAt = clock.now();
+    const listed = await control.list();
+    if (listed.err) {
+      log.decision("host-list-failed", { message: listed.val });
+      if (lease.ageMs > renewMs) await lease.commit([], []);
+      return passMs;
+    }
+    const hosts = new Map(listed.val.map((host) => [host.host, host]));
+    const empty = await this.#emptyEndpoints(listed.val);
+    await this.#advanceWaves({ hosts, askedAt }, empty);
+    await this.#sizePools(listed.val, empty);
+    await this.#store(listed.val);
+    return passMs;
+  }
+
+  async #load(): Promise<boolean> {
+    const { store, clock } = this.parts;
+    const [waves, vacating] = await Promise.all([
+      store.range({ table: waveKey("").table, partition: fleetShard }),
+      store.range({ table: vacateTable, partition: fleetShard }),
+    ]);
+    if (waves.err || vacating.err) return false;
+    this.#waves.load(waves.val.rows);
+    for (const { key, value } of vacating.val.rows) {
+      this.#vacates.load(key, decodeVacate(value), clock.wall());
+    }
+    this.#isLoaded = true;
+    return true;
+  }
+
+  /** Endpoints that were reported empty since they were asked to be. */
+  async #emptyEndpoints(
+    hosts: readonly ListedHost[],
+  ): Promise<ReadonlySet<string>> {
+    const asked = hosts.filter((h) => this.#vacates.has(h.endpoint));
+    const pools = new Set(asked.map((h) => h.pool));
+    const reads = await Promise.all(
+      [...pools].map((pool) => {
+        const { table, partition } = vacatedKey(pool, "");
+        return this.parts.store.range({ table, partition });
+      }),
+    );
+    const keys = reads.flatMap((read) =>
+      read.ok ? read.val.rows.map((row) => row.key) : []
+    );
+    return new Set(keys.filter((id) => this.#vacates.has(id)));
+  }
+
+  async #advanceWaves(
+    listing: HostListing,
+    empty: ReadonlySet<string>,
+  ): Promise<void> {
+    for (const wave of this.#waves.open()) {
+      await this.#waves.advance(
+        wave,
+        listing,
+        empty,
+        (host, id) => this.#maintain(host, id),
+      );
+    }
+  }
+
+  async #sizePools(
+    hosts: readonly ListedHost[],
+    empty: ReadonlySet<string>,
+  ): Promise<void> {
+    const { catalog, clock } = this.parts;
+    const pools = catalog.current?.pools ?? [];
+    const demands = await this.#readDemands(pools.map((pool) => pool.name));
+    const now = clock.now();
+    for (const [pool, demand] of demands) {
+      this.#needs.note(pool, hostsNeeded(demand), now);
+    }
+    const pending = this.#waves.pendingHosts();
+    const plan = planSizes({
+      pools,
+      hosts: hosts.filter((h) => (this.#restUntil.get(h.host) ?? 0) <= now),
+      demands,
+      needs: this.#needs,
+      vacating: this.#vacates.all(),
+      moving: this.#vacates.moving(),
+      empty,
+    });
+    // Hosts that a wave will take soon are the first to be left where they are.
+    const moves = [...plan.moves].sort((a, b) =>
+      Number(pending.has(a.host)) - Number(pending.has(b.host))
+    );
+    for (const move of moves) {
+      if (!await this.#move(move)) break;
+    }
+    for (const id of plan.vacate) {
+      this.#vacates.empty(id, "move", clock.wall());
+    }
+  }
+
+  async #readDemands(
+    pools: readonly string[],
+  ): Promise<ReadonlyMap<string, PoolDemand>> {
+    const demands = new Map<string, PoolDemand>();
+    await Promise.all(pools.map(async (pool) => {
+      const read = await this.parts.store.range(onlyKey(demandKey(pool)));
+      const row = read.ok ? read.val.rows[0] : undefined;
+      const demand = row && parseJson(poolDemandSchema, row.value);
+      if (demand !== undefined) demands.set(pool, demand);
+    }));
+    return demands;
+  }
+
+  async #maintain(host: ListedHost, wave: string): Promise<boolean> {
+    const outcome = await this.#order((holder) =>
+      this.parts.control.maintain(host.host, wave, holder)
+    );
+    this.#logOrder("host-maintenance", host.host, outcome, { wave });
+    return outcome?.kind === "done";
+  }
+
+  /** Moves a host; false when no further order should be given now. */
+  async #move({ host, endpoint, from, to }: HostMove): Promise<boolean> {
+    const { control, clock } = this.parts;
+    const outcome = await this.#order((holder) =>
+      control.move(host, to, holder)
+    );
+    this.#logOrder("host-move", host, outcome, { from, to });
+    if (outcome === undefined) return false;
+    if (outcome.kind === "done") {
+      this.#vacates.takenAway(endpoint, clock.wall());
+    } else {
+      this.#restUntil.set(host, clock.now() + rejectedMoveMs);
+    }
+    return outcome.kind !== "unknown";
+  }
+
+  /** Gives an order while the lease is fresh; undefined when it isn't. */
+  async #order(
+    give: (
+      holder: { readonly entry: string; readonly term: number },
+    ) => Promise<HostOrderOutcome>,
+  ): Promise<HostOrderOutcome | undefined> {
+    const { clock, lease, entry } = this.parts;
+    if (clock.now() < this.#startAt) return undefined;
+    if (lease.ageMs > orderFreshnessMs) {
+      const renewed = await lease.commit([], []);
+      if (renewed.err) return undefined;
+    }
+    return await give({ entry, term: lease.term });
+  }
+
+  #logOrder(
+    event: string,
+    host: string,
+    outcome: HostOrderOutcome | undefined,
+    fields: Readonly<Record<string, string>>,
+  ): void {
+    if (outcome === undefined) return;
+    const { log, lease } = this.parts;
+    const { kind } = outcome;
+    const reason = kind === "rejected" ? outcome.reason : undefined;
+    const message = kind === "unknown" ? outcome.message : reason;
+    const { term } = lease;
+    log.decision(event, { ...fields, host, term, outcome: kind, message });
+  }
+
+  async #store(hosts: readonly ListedHost[]): Promise<void> {
+    const { lease, clock, log } = this.parts;
+    const waves = this.#waves.changes();
+    const vacates = this.#vacates.changes(hosts, clock.now());
+    const puts = [...waves, ...vacates.puts];
+    const isSame = puts.length + vacates.removes.length === 0;
+    if (!isSame || lease.ageMs > renewMs) {
+      const done = await lease.commit(puts, vacates.removes);
+      if (done.err) {
+        log.decision("fleet-not-stored", { message: done.val.message });
+        return;
+      }
+      vacates.stored();
+    }
+    await this.#waves.stored(waves);
+  }
+}
--- a/src/upkeep/index.ts
+++ b/src/upkeep/index.ts
@@ -1,12 +1,25 @@
 /** Maintenance waves and moves of hosts. */
+export { FleetOwner, type FleetParts } from "./fleet_owner.ts";
 export * from "./host_control.ts";
+export {
+  type HostMove,
+  hostsNeeded,
+  NeedHistory,
+  planSizes,
+  type PoolDemand,
+  poolDemandSchema,
+  type SizePlan,
+  type SizeView,
+} from "./pool_sizes.ts";
 export * from "./rows.ts";
+export { VacateBook } from "./vacate_book.ts";
 export {
   isWaveComplete,
+  neededParallel,
   planWave,
   type Wave,
   type WaveProgress,
   type WaveSteps,
   type WaveView,
 } from "./wave_plan.ts";
-export { type WaveBoard, WaveKeeper, type WaveParts } from "./wave_keeper.ts";
+export { type WaveBoard, WaveRunner } from "./wave_runner.ts";
--- a/src/upkeep/rows.ts
+++ b/src/upkeep/rows.ts
@@ -38,6 +38,11 @@
   return { table: "vacated", partition: shard, key: endpoint };
 }
 
+/** Row with what a shard's jobs ask of its pool; its owner writes. */
+export function demandKey(shard: string): RowKey {
+  return { table: "demand", partition: shard, key: "demand" };
+}
+
 /** Row with what has been done of a wave. */
 export function waveKey(wave: string): RowKey {
   return { table: "waves", partition: fleetShard, key: wave };
--- a/src/upkeep/wave_plan.ts
+++ b/src/upkeep/wave_plan.ts
@@ -31,8 +31,8 @@
   readonly listed: ReadonlyMap<string, ListedHost>;
   /** Endpoints that were reported empty. */
   readonly empty: ReadonlySet<string>;
-  /** Endpoints that are being emptied, with the wall-clock time since. */
-  readonly vacating: ReadonlyMap<string, number>;
+  /** Wall-clock time since which an endpoint is being emptied, in ms. */
+  readonly vacatingSince: (endpoint: string) => number | undefined;
   /** Wall-clock time in ms. */
   readonly now: number;
 }
@@ -42,7 +42,7 @@
   /** Endpoints to empty. */
   readonly vacate: readonly string[];
   /** Hosts to take down now. */
-  readonly begin: readonly string[];
+  readonly begin: readonly ListedHost[];
 }
 
 /** Time that a host is away in a wave: emptied, down, and back, in ms. */
@@ -101,18 +101,19 @@
   progress: WaveProgress,
   view: WaveView,
 ): WaveSteps {
-  const { listed, empty, vacating, now } = view;
+  const { listed, empty, vacatingSince, now } = view;
   const begun = new Set(progress.begun);
   const ended = new Set(progress.ended);
   const down = progress.begun.filter((host) => !ended.has(host)).length;
   const left = wave.hosts.filter((host) => !begun.has(host));
   const late = now - progress.startedAt > wave.durationMs * shortOfTime;
   const parallel = neededParallel(wave, progress, now);
-  const begin: string[] = [];
+  const begin: ListedHost[] = [];
   const vacate: string[] = [];
   let away = down;
-  for (const { host, endpoint } of inTurn(left, listed)) {
-    const since = vacating.get(endpoint);
+  for (const host of inTurn(left, listed)) {
+    const { endpoint } = host;
+    const since = vacatingSince(endpoint);
     const waited = since !== undefined && now - since > vacateLimitMs && late;
     const isEmpty = endpoint === "" || empty.has(endpoint);
     const mayBegin = down + begin.length < wave.maxParallel;
@@ -125,7 +126,7 @@
   }
   for (const { endpoint } of inTurn(left, listed)) {
     if (away >= parallel) break;
-    if (endpoint === "" || vacating.has(endpoint)) continue;
+    if (endpoint === "" || vacatingSince(endpoint) !== undefined) continue;
     vacate.push(endpoint);
     away++;
   }
