Want hosts by the work that arrives; offer empty hosts; fill used ones first

Cause: a pool asked for hosts only when its tasks had piled up, so each surge met a cold pool for 2 to 4 s; and short tasks spread over all hosts kept every host busy, so none could be given away. Ruled out: the time of a move (1.5 s) and of the registrations.

--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -1,20 +1,82 @@
-/** What the jobs of a shard ask of its pool, for the fleet's owner. */
+/**
+ * How many hosts a shard's jobs ask for, now and when a host that is ordered
+ * now has arrived.
+ *
+ * The need of the moment is the room of all tasks that run or could start.
+ * The need ahead is the work that arrives in a second: a surge shows in the
+ * arrivals before its tasks have piled up.
+ */
 import {
   isFinal,
   isStepReady,
+  type JobSpec,
   type Resources,
   startableTasks,
 } from "../batch/index.ts";
-import type { PoolDemand } from "../upkeep/index.ts";
 import type { EndpointSession } from "./endpoint_session.ts";
 import type { BookedJob } from "./job_book.ts";
 import { addResources, roomOf } from "./place.ts";
 
-/** Most endpoints named as spare. */
-const maxSpare = 16;
+/** Share of a host that can be filled, as tasks leave gaps. */
+const fillShare = 0.85;
+
+/** Hosts that a pool keeps beyond its need, for the next jobs. */
+const reserveHosts = 1;
+
+/** Fewest hosts of a pool. */
+const minHosts = 2;
+
+/** Time over which arriving work is measured, in ms. */
+const arrivalWindowMs = 800;
+
+/** Arrivals in the window that make a rate; fewer are single jobs. */
+const minArrivals = 3;
+
+/** Weight of the newest run in the mean run time of a queue. */
+const runTimeWeight = 0.1;
 
 const nothing: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
+interface Arrival {
+  readonly at: number;
+  /** Thousandths of a core times ms. */
+  readonly work: number;
+}
+
+/** Work that arrives, by what tasks of the queue have taken so far. */
+export class ArrivalRate {
+  #arrivals: Arrival[] = [];
+  /** Mean time that tasks of a queue have run, in ms. */
+  readonly #runMs = new Map<string, number>();
+
+  /** Notes a job that has just been accepted. */
+  arrived(spec: JobSpec, now: number): void {
+    const runMs = this.#runMs.get(spec.queue);
+    const work = spec.steps.reduce((sum, step) => {
+      if (step.longRunning || step.filler) return sum;
+      const each = runMs ?? step.estimateMs;
+      return sum + step.count * step.demand.cpuMillis * each;
+    }, 0);
+    this.#arrivals.push({ at: now, work });
+  }
+
+  /** Notes how long a task took. */
+  ran(queue: string, ms: number): void {
+    const known = this.#runMs.get(queue) ?? ms;
+    this.#runMs.set(queue, known + (ms - known) * runTimeWeight);
+  }
+
+  /** Processor that the arriving work keeps busy, in thousandths of a core. */
+  cpuMillis(now: number): number {
+    this.#arrivals = this.#arrivals.filter((a) =>
+      now - a.at <= arrivalWindowMs
+    );
+    if (this.#arrivals.length < minArrivals) return 0;
+    const work = this.#arrivals.reduce((sum, a) => sum + a.work, 0);
+    return work / arrivalWindowMs;
+  }
+}
+
 /** Room that tasks without a place ask for. */
 function waitingRoom(jobs: Iterable<BookedJob>): Resources {
   let sum = nothing;
@@ -42,30 +104,23 @@
   return most;
 }
 
-/** The demand of a shard's jobs. */
-export function poolDemand(
-  jobs: Iterable<BookedJob>,
+/** Hosts that a shard's jobs ask for. */
+export function hostsWanted(
+  jobs: readonly BookedJob[],
   sessions: readonly EndpointSession[],
-): PoolDemand {
-  const all = [...jobs];
-  const open = sessions.filter((s) => s.isOpen);
+  arrivingCpuMillis: number,
+): number {
   const running = sessions.reduce(
     (sum, s) => addResources(sum, s.used),
     nothing,
   );
-  const room = addResources(running, waitingRoom(all));
-  const capacity = open[0]?.endpoint.capacity ?? nothing;
-  const spare = open
-    .filter((s) => [...s.runs.values()].every((r) => !r.step.longRunning))
-    .sort((a, b) => a.runs.size - b.runs.size)
-    .slice(0, maxSpare)
-    .map((s) => s.endpoint.id);
-  return {
-    cpuMillis: Math.round(room.cpuMillis),
-    memoryMb: Math.round(room.memoryMb),
-    minEndpoints: minEndpoints(all),
-    hostCpuMillis: capacity.cpuMillis,
-    hostMemoryMb: capacity.memoryMb,
-    spare,
-  };
+  const room = addResources(running, waitingRoom(jobs));
+  const capacity = sessions[0]?.endpoint.capacity;
+  const spread = minEndpoints(jobs);
+  if (capacity === undefined) return Math.max(minHosts, spread);
+  const cpu = Math.max(room.cpuMillis, arrivingCpuMillis);
+  const byCpu = cpu / Math.max(1, capacity.cpuMillis * fillShare);
+  const byMemory = room.memoryMb / Math.max(1, capacity.memoryMb * fillShare);
+  const needed = Math.ceil(Math.max(byCpu, byMemory, spread));
+  return Math.max(minHosts, needed + reserveHosts);
 }
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -199,6 +199,7 @@
       payload: spec.payload,
       phase,
       changedAt: now,
+      startedAt: now,
       stoppedAt: undefined,
       percent: -1,
       progressedAt: now,
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -52,6 +52,8 @@
   phase: RunPhase;
   /** Steady time of the last change of the phase. */
   changedAt: number;
+  /** Steady time at which the run was intended. */
+  readonly startedAt: number;
   /** Steady time at which a stop was confirmed. */
   stoppedAt: number | undefined;
   percent: number;
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -4,8 +4,8 @@
  * An endpoint that lacks the room, the label, or the right to run more of the
  * step is left out. Among the others an endpoint in the rack of the task's
  * data goes first, then one with few recent failures, then the one with the
- * largest share of its processor free, which keeps tasks from disturbing one
- * another and spreads what a dying host takes with it.
+ * smallest share of its processor free: so hosts that are not needed become
+ * empty soon and can move to a pool that lacks them.
  */
 import type { Resources, StepSpec } from "../batch/index.ts";
 
@@ -66,9 +66,8 @@
   const elsewhere = wanted !== undefined && !c.labels.includes(wanted) ? 4 : 0;
   const failed = c.failedHere ? 8 : 0;
   const total = Math.max(1, c.capacity.cpuMillis);
-  const load = c.used.cpuMillis / total;
-  const spread = c.sameStep / Math.max(1, step.count);
-  return failed + 6 * c.suspicion + elsewhere + load + spread;
+  const free = 1 - c.used.cpuMillis / total;
+  return failed + 6 * c.suspicion + elsewhere + free;
 }
 
 /** The best eligible candidate; undefined when there is none. */
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -36,13 +36,18 @@
   type Store,
   TableWatch,
 } from "../store/index.ts";
-import { demandKey, type VacateState } from "../upkeep/index.ts";
+import {
+  demandKey,
+  type PoolDemand,
+  type VacateState,
+} from "../upkeep/index.ts";
 import { Caretaker } from "./caretaker.ts";
 import { CommitQueue } from "./commit_queue.ts";
-import { poolDemand } from "./demand.ts";
+import { ArrivalRate, hostsWanted } from "./demand.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import { EndpointDriver } from "./endpoint_driver.ts";
 import type { Run } from "./endpoint_session.ts";
+import { HostOffers } from "./host_offers.ts";
 import { type BookedJob, JobBook } from "./job_book.ts";
 import { planStarts } from "./planner.ts";
 
@@ -53,7 +58,7 @@
 const inboxRetryMs = 200;
 
 /** Time between two passes over what is due, stalled or draining, in ms. */
-const carePeriodMs = 200;
+const carePeriodMs = 100;
 
 /** Least time between two passes of placement, in ms. */
 const planSpacingMs = 10;
@@ -65,7 +70,10 @@
 const countsPeriodMs = 700;
 
 /** Least time between two writes of the demand, in ms. */
-const demandPeriodMs = 250;
+const demandPeriodMs = 180;
+
+/** Age up to which a job that is read counts as arriving, in ms. */
+const freshJobMs = 1_500;
 
 /** How long a final job can be asked for, in ms. */
 const keepFinalMs = 150_000;
@@ -101,6 +109,8 @@
   #countsAt = -Infinity;
   #demand = "";
   #demandAt = -Infinity;
+  readonly #arrivals = new ArrivalRate();
+  readonly #offers = new HostOffers();
   #stopped = false;
 
   constructor(private readonly parts: ShardParts) {
@@ -201,6 +211,8 @@
         term: this.parts.lease.term,
       });
       if (isFinal(job.progress.phase)) this.driver.stopJob(job.spec.id);
+      const age = clock.wall() - job.spec.acceptedAt;
+      if (age < freshJobMs) this.#arrivals.arrived(job.spec, clock.now());
     }
     this.wantPlan();
   }
@@ -249,8 +261,9 @@
     this.#lastPlanAt = now;
     const jobs = this.#activeJobs();
     const vacating = this.parts.vacating();
-    const sessions = this.driver.sessions()
-      .filter((s) => !vacating.has(s.endpoint.id));
+    const sessions = this.driver.sessions().filter(({ endpoint: { id } }) =>
+      !vacating.has(id) && !this.#offers.isClosed(id, now)
+    );
     const time = { now, wall: clock.wall() };
     const planned = planStarts(jobs, sessions, time);
     // Gang members share a run, so numbers are drawn before any is placed.
@@ -318,11 +331,15 @@
     run: number,
     end: RunEnd,
     checkpoint: string,
+    ranMs?: number,
   ): void {
     const job = this.book.jobs.get(id);
     if (job === undefined) return;
     const { clock, log, shard } = this.parts;
     const placed = taskAt(job.progress, ref)?.placement;
+    if (end === "done" && ranMs !== undefined) {
+      this.#arrivals.ran(job.spec.queue, ranMs);
+    }
     if (end === "failed" && placed?.run === run) {
       this.book.noteFailure(job, ref, placed.endpoint);
     }
@@ -364,12 +381,20 @@
 
   #writeDemand(now: number): void {
     if (now - this.#demandAt < demandPeriodMs) return;
-    const demand = poolDemand(this.#activeJobs(), this.driver.sessions());
+    const sessions = this.driver.sessions();
+    const arriving = this.#arrivals.cpuMillis(now);
+    const want = hostsWanted(this.#activeJobs(), sessions, arriving);
+    this.#offers.adjust(sessions, want);
+    const demand: PoolDemand = { want, offered: [...this.#offers.offered] };
     const value = JSON.stringify(demand);
     if (value === this.#demand) return;
     this.#demand = value;
     this.#demandAt = now;
-    this.commits.put({ ...demandKey(this.parts.shard), value });
+    const { clock, shard } = this.parts;
+    this.commits.put({ ...demandKey(shard), value });
+    this.commits.then(() => {
+      if (this.#demand === value) this.#offers.stored(clock.now());
+    });
   }
 
   #activeJobs(): readonly BookedJob[] {
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -15,8 +15,6 @@
 } from "./host_control.ts";
 import {
   type HostMove,
-  hostsNeeded,
-  NeedHistory,
   planSizes,
   type PoolDemand,
   poolDemandSchema,
@@ -33,7 +31,7 @@
 import { type HostListing, type WaveBoard, WaveRunner } from "./wave_runner.ts";
 
 /** Time between two passes, in ms. */
-const passMs = 300;
+const passMs = 200;
 
 /** Longest time without a commit; a commit shows whether the fleet is lost. */
 const renewMs = 1_000;
@@ -69,7 +67,8 @@
   readonly #startAt: number;
   readonly #vacates = new VacateBook();
   readonly #waves: WaveRunner;
-  readonly #needs = new NeedHistory();
+  /** Steady time since which an endpoint is offered. */
+  readonly #offeredSince = new Map<string, number>();
   /** Steady time until which a host is not moved. */
   readonly #restUntil = new Map<string, number>();
   #isLoaded = false;
@@ -93,9 +92,8 @@
       return passMs;
     }
     const hosts = new Map(listed.val.map((host) => [host.host, host]));
-    const empty = await this.#emptyEndpoints(listed.val);
-    await this.#advanceWaves({ hosts, askedAt }, empty);
-    await this.#sizePools(listed.val, empty);
+    await this.#advanceWaves({ hosts, askedAt });
+    await this.#sizePools(listed.val);
     await this.#store(listed.val);
     return passMs;
   }
@@ -133,11 +131,11 @@
     return new Set(keys.filter((id) => this.#vacates.has(id)));
   }
 
-  async #advanceWaves(
-    listing: HostListing,
-    empty: ReadonlySet<string>,
-  ): Promise<void> {
-    for (const wave of this.#waves.open()) {
+  async #advanceWaves(listing: HostListing): Promise<void> {
+    const open = this.#waves.open();
+    if (open.length === 0) return;
+    const empty = await this.#emptyEndpoints([...listing.hosts.values()]);
+    for (const wave of open) {
       await this.#waves.advance(
         wave,
         listing,
@@ -147,36 +145,36 @@
     }
   }
 
-  async #sizePools(
-    hosts: readonly ListedHost[],
-    empty: ReadonlySet<string>,
-  ): Promise<void> {
+  async #sizePools(hosts: readonly ListedHost[]): Promise<void> {
     const { catalog, clock } = this.parts;
     const pools = catalog.current?.pools ?? [];
     const demands = await this.#readDemands(pools.map((pool) => pool.name));
     const now = clock.now();
-    for (const [pool, demand] of demands) {
-      this.#needs.note(pool, hostsNeeded(demand), now);
-    }
+    this.#noteOffers(demands, now);
     const pending = this.#waves.pendingHosts();
-    const plan = planSizes({
+    const planned = planSizes({
       pools,
       hosts: hosts.filter((h) => (this.#restUntil.get(h.host) ?? 0) <= now),
       demands,
-      needs: this.#needs,
       vacating: this.#vacates.all(),
-      moving: this.#vacates.moving(),
-      empty,
+      offeredFor: (id) => now - (this.#offeredSince.get(id) ?? now),
     });
     // Hosts that a wave will take soon are the first to be left where they are.
-    const moves = [...plan.moves].sort((a, b) =>
+    const moves = [...planned].sort((a, b) =>
       Number(pending.has(a.host)) - Number(pending.has(b.host))
     );
     for (const move of moves) {
       if (!await this.#move(move)) break;
     }
-    for (const id of plan.vacate) {
-      this.#vacates.empty(id, "move", clock.wall());
+  }
+
+  #noteOffers(demands: ReadonlyMap<string, PoolDemand>, now: number): void {
+    const offered = new Set([...demands.values()].flatMap((d) => d.offered));
+    for (const id of this.#offeredSince.keys()) {
+      if (!offered.has(id)) this.#offeredSince.delete(id);
+    }
+    for (const id of offered) {
+      if (!this.#offeredSince.has(id)) this.#offeredSince.set(id, now);
     }
   }
 
--- a/src/upkeep/index.ts
+++ b/src/upkeep/index.ts
@@ -3,12 +3,9 @@
 export * from "./host_control.ts";
 export {
   type HostMove,
-  hostsNeeded,
-  NeedHistory,
   planSizes,
   type PoolDemand,
   poolDemandSchema,
-  type SizePlan,
   type SizeView,
 } from "./pool_sizes.ts";
 export * from "./rows.ts";
--- a/src/upkeep/vacate_book.ts
+++ b/src/upkeep/vacate_book.ts
@@ -12,11 +12,7 @@
  */
 const forgetEndpointMs = 15_000;
 
-/** Why an endpoint is being emptied. */
-export type VacateCause = "wave" | "move";
-
 interface Vacating {
-  readonly cause: VacateCause;
   /** Wall-clock time since, in ms. */
   readonly since: number;
   state: VacateState;
@@ -36,14 +32,11 @@
 /** Endpoints that are being emptied. */
 export class VacateBook {
   readonly #endpoints = new Map<string, Vacating>();
-  readonly #released = new Set<string>();
 
   /** Asks for an endpoint to become empty. */
-  empty(endpoint: string, cause: VacateCause, wall: number): void {
+  empty(endpoint: string, wall: number): void {
     if (this.#endpoints.has(endpoint)) return;
-    this.#released.delete(endpoint);
     this.#endpoints.set(endpoint, {
-      cause,
       since: wall,
       state: "emptying",
       isStored: false,
@@ -54,24 +47,16 @@
   /** Notes that an endpoint's host was taken away. */
   takenAway(endpoint: string, wall: number): void {
     if (endpoint === "") return;
-    this.empty(endpoint, "move", wall);
+    this.empty(endpoint, wall);
     const known = this.#endpoints.get(endpoint);
     if (known === undefined || known.state === "down") return;
     known.state = "down";
     known.isStored = false;
   }
 
-  /** Takes back a request, so that the endpoint gets work again. */
-  release(endpoint: string): void {
-    const known = this.#endpoints.get(endpoint);
-    if (known === undefined || known.state === "down") return;
-    this.#endpoints.delete(endpoint);
-    this.#released.add(endpoint);
-  }
-
   /** Reads a row that an earlier owner left. */
   load(endpoint: string, state: VacateState, wall: number): void {
-    this.empty(endpoint, "move", wall);
+    this.empty(endpoint, wall);
     const known = this.#endpoints.get(endpoint);
     if (known === undefined) return;
     known.state = state;
@@ -93,18 +78,11 @@
     return new Set(this.#endpoints.keys());
   }
 
-  /** Endpoints that are being emptied so that their host can move. */
-  moving(): ReadonlySet<string> {
-    const moving = [...this.#endpoints]
-      .filter(([, e]) => e.cause === "move" && e.state === "emptying");
-    return new Set(moving.map(([id]) => id));
-  }
-
   /** The rows that the store lacks, and those that are no longer needed. */
   changes(hosts: readonly ListedHost[], now: number): VacateChanges {
     const running = new Set(hosts.map((h) => h.endpoint));
     const unstored: [string, Vacating][] = [];
-    const removed = [...this.#released];
+    const removed: string[] = [];
     for (const [id, endpoint] of this.#endpoints) {
       if (running.has(id)) endpoint.goneSince = undefined;
       else endpoint.goneSince ??= now;
@@ -120,10 +98,7 @@
       removes: removed.map(vacateKey),
       stored: () => {
         for (const [, endpoint] of unstored) endpoint.isStored = true;
-        for (const id of removed) {
-          this.#endpoints.delete(id);
-          this.#released.delete(id);
-        }
+        for (const id of removed) this.#endpoints.delete(id);
       },
     };
   }
--- a/src/upkeep/wave_runner.ts
+++ b/src/upkeep/wave_runner.ts
@@ -112,7 +112,7 @@
       vacates.takenAway(host.endpoint, clock.wall());
       begun.push(host.host);
     }
-    for (const id of steps.vacate) vacates.empty(id, "wave", clock.wall());
+    for (const id of steps.vacate) vacates.empty(id, clock.wall());
     if (steps.vacate.length > 0) {
       const endpoints = steps.vacate.join(",");
       log.decision("hosts-vacating", { wave: wave.id, endpoints });
