Spread what many write over partitions; withdraw inherited offers; bound earlier leases

Releases are tried again; the bound follows how the owner before ended. - Commits refused with 429 while the store was 23 times slower: accepts and the owner's commits shared one partition. Ruled out: the whole store's rate.

--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -1,11 +1,12 @@
 /**
- * Rows of batch jobs in the store. The partition is the shard.
+ * Rows of batch jobs in the store.
  *
  * `inbox-SHARD` holds accepted jobs and cancel marks, written once by any
- * entry; `progress` and `counts` are written by the shard's owner alone.
+ * entry, and is spread over partitions. `progress` and `counts` are written by
+ * the shard's owner alone; their partition is the shard.
  */
 import * as v from "valibot";
-import type { RangeQuery, RowKey } from "../store/index.ts";
+import { partitionOf, type RangeQuery, type RowKey } from "../store/index.ts";
 
 const cancelSuffix = "/cancel";
 
@@ -16,13 +17,13 @@
 
 /** Row of an accepted job. */
 export function inboxKey(shard: string, job: string): RowKey {
-  return { table: inboxTable(shard), partition: shard, key: job };
+  const partition = partitionOf(shard, job);
+  return { table: inboxTable(shard), partition, key: job };
 }
 
 /** Row that cancels a job. */
 export function cancelKey(shard: string, job: string): RowKey {
-  const key = job + cancelSuffix;
-  return { table: inboxTable(shard), partition: shard, key };
+  return { ...inboxKey(shard, job), key: job + cancelSuffix };
 }
 
 /** The job that a cancel mark names; undefined for other keys. */
--- a/src/cluster/shard_lease.ts
+++ b/src/cluster/shard_lease.ts
@@ -9,7 +9,7 @@
  */
 import { Err, Ok, type Result } from "ts-results";
 import * as v from "valibot";
-import type { Clock } from "../clock/index.ts";
+import { type Clock, delay } from "../clock/index.ts";
 import {
   parseJson,
   type Row,
@@ -23,6 +23,12 @@
 export const ownerTable = "owner";
 const ownerKey = "owner";
 
+/** Tries to give a shard up before its lease has to run out. */
+const releaseAttempts = 8;
+
+/** Pause between two of these tries, in ms. */
+const releasePauseMs = 150;
+
 const ownerSchema = v.object({
   /** Boot of the holder; empty after a release. */
   boot: v.string(),
@@ -164,12 +170,18 @@
     );
   }
 
-  /** Gives the shard up so that another entry can take it at once. */
-  async release(): Promise<Result<void, CommitFailure>> {
-    const owner = { ...this.#owner, boot: "", entry: "" };
-    const released = await this.#put(owner, [], []);
+  /**
+   * Gives the shard up so that another entry can take it at once. Tries again
+   * while the store does not answer, as the shard stands still meanwhile.
+   */
+  async release(): Promise<void> {
+    for (let attempt = 0; attempt < releaseAttempts; attempt++) {
+      const owner = { ...this.#owner, boot: "", entry: "" };
+      const released = await this.#put(owner, [], []);
+      if (released.ok || released.val.kind === "lost") break;
+      await delay(this.clock, releasePauseMs);
+    }
     this.#lost = true;
-    return released;
   }
 
   async #put(
--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -17,6 +17,9 @@
 /** Time in which a long-running task has to be at work, in ms. */
 const startupMs = 5_000;
 
+/** Time that short tasks get to end before maintenance, in ms. */
+const shortTasksMs = 5_000;
+
 /** Percentage at which a long-running task is at work. */
 const atWork = 100;
 
@@ -36,6 +39,8 @@
 /** Looks after the runs of one shard. */
 export class Caretaker {
   readonly #reported = new Set<string>();
+  /** Steady time since which an endpoint is being emptied. */
+  readonly #leavingSince = new Map<string, number>();
 
   constructor(private readonly parts: CareParts) {}
 
@@ -53,6 +58,9 @@
       if (leaving || session.endpoint.draining) this.#moveAway(session);
       if (leaving) this.#reportVacated(session);
     }
+    for (const id of this.#leavingSince.keys()) {
+      if (!vacating.has(id)) this.#leavingSince.delete(id);
+    }
     for (const id of this.#reported) {
       if (vacating.has(id)) continue;
       this.#reported.delete(id);
@@ -102,9 +110,19 @@
     return run?.phase === "running" && run.percent === atWork;
   }
 
+  /**
+   * Reports an endpoint that is empty, or whose short tasks take too long; a
+   * long-running task is never given up to maintenance.
+   */
   #reportVacated(session: EndpointSession): void {
     const { id } = session.endpoint;
-    if (session.runs.size > 0 || this.#reported.has(id)) return;
+    if (this.#reported.has(id)) return;
+    const now = this.parts.clock.now();
+    const since = this.#leavingSince.get(id) ?? now;
+    this.#leavingSince.set(id, since);
+    const lasts = [...session.runs.values()].some((r) => r.step.longRunning);
+    const waited = now - since > shortTasksMs && !lasts;
+    if (session.runs.size > 0 && !waited) return;
     this.#reported.add(id);
     const key = vacatedKey(this.parts.shard, id);
     this.parts.report({ ...key, value: "{}" });
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -11,7 +11,7 @@
   type TaskRef,
 } from "../batch/index.ts";
 import { type Clock, delay } from "../clock/index.ts";
-import type { ShardLease } from "../cluster/index.ts";
+import { memberLeaseMs, type ShardLease } from "../cluster/index.ts";
 import type {
   EndpointLists,
   EndpointRegistry,
@@ -22,6 +22,8 @@
 } from "../endpoint/index.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import {
+  clockDrift,
+  deliveryMs,
   EndpointSession,
   type Run,
   type RunPhase,
@@ -44,7 +46,7 @@
  * How long an owner that can't renew its own lease goes on holding those of
  * its tasks, in ms.
  */
-const holdWithoutStoreMs = 6_000;
+const holdWithoutStoreMs = 4_500;
 
 /** Age of the owner's last commit from which it starts nothing, in ms. */
 const startFreshnessMs = 2_000;
@@ -55,10 +57,25 @@
 /** Time for which an endpoint that could not be reached gets no task, in ms. */
 const unreachableMs = 1_000;
 
+/** What is known of the owner before this one. */
+export type PreviousOwner =
+  /** It has released the shard, or its process has ended. */
+  | "ended"
+  /** It fell silent, and may go on without the store for a while. */
+  | "silent";
+
+/** Longest time that a lease of the owner before may still last, in ms. */
+function longestLease(previous: PreviousOwner): number {
+  const lease = taskLeaseMs * (1 + clockDrift) + deliveryMs;
+  if (previous === "ended") return lease;
+  return lease + holdWithoutStoreMs - memberLeaseMs;
+}
+
 /** What the driver works with, and whom it tells. */
 export interface DriverParts {
   readonly shard: string;
   readonly lease: ShardLease;
+  readonly previous: PreviousOwner;
   readonly orders: TaskOrders;
   readonly registry: EndpointRegistry;
   readonly clock: Clock;
@@ -99,7 +116,7 @@
 
   constructor(private readonly parts: DriverParts) {
     this.#orphans = new OrphanRuns(
-      parts.clock.now() + holdWithoutStoreMs + taskLeaseMs,
+      parts.clock.now() + longestLease(parts.previous),
     );
   }
 
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -20,10 +20,10 @@
 export const taskLeaseMs = 5_000;
 
 /** Most by which an endpoint's clock runs slow, as a share. */
-const clockDrift = 0.02;
+export const clockDrift = 0.02;
 
 /** Allowance for the delivery of an answer when a lease's end is bounded. */
-const deliveryMs = 100;
+export const deliveryMs = 100;
 
 /**
  * Phases of a run.
--- a/src/scheduler/host_offers.ts
+++ b/src/scheduler/host_offers.ts
@@ -13,25 +13,45 @@
  */
 const withdrawMs = 500;
 
+/**
+ * The same for tasks with an availability budget, in ms: an order that was
+ * held up on its way would take one of them away against its budget.
+ */
+const withdrawProtectedMs = 2_500;
+
+/** Until when a withdrawn endpoint is kept from work, by kind of work. */
+interface Withdrawal {
+  readonly anyFrom: number;
+  readonly protectedFrom: number;
+}
+
+const unconfirmed: Withdrawal = { anyFrom: Infinity, protectedFrom: Infinity };
+
 /** Offers of one shard. */
 export class HostOffers {
   readonly #offered = new Set<string>();
-  /** Steady time from which a withdrawn endpoint may get work. */
-  readonly #withdrawn = new Map<string, number>();
+  readonly #withdrawn = new Map<string, Withdrawal>();
 
   /** Endpoints that are offered. */
   get offered(): readonly string[] {
     return [...this.#offered];
   }
 
+  /** Withdraws the offers that an earlier owner left in the store. */
+  inherit(endpoints: readonly string[]): void {
+    for (const id of endpoints) this.#withdrawn.set(id, unconfirmed);
+  }
+
   /** Whether an endpoint must not get work. */
   isClosed(endpoint: string, now: number): boolean {
     if (this.#offered.has(endpoint)) return true;
-    const until = this.#withdrawn.get(endpoint);
-    if (until === undefined) return false;
-    if (now < until) return true;
-    this.#withdrawn.delete(endpoint);
-    return false;
+    return now < (this.#withdrawn.get(endpoint)?.anyFrom ?? 0);
+  }
+
+  /** Whether an endpoint must not get a task with an availability budget. */
+  isUnsettled(endpoint: string, now: number): boolean {
+    if (this.#offered.has(endpoint)) return true;
+    return now < (this.#withdrawn.get(endpoint)?.protectedFrom ?? 0);
   }
 
   /** Offers what the pool does not need, and withdraws what it does. */
@@ -45,23 +65,29 @@
     for (const id of [...this.#offered]) {
       if (kept >= want) break;
       this.#offered.delete(id);
-      this.#withdrawn.set(id, Infinity);
+      this.#withdrawn.set(id, unconfirmed);
       kept++;
     }
     for (const { endpoint, runs } of open) {
       if (kept <= want) break;
       const { id } = endpoint;
       if (runs.size > 0 || this.#offered.has(id)) continue;
-      if (this.#withdrawn.has(id)) continue;
+      if (this.#withdrawn.get(id) === unconfirmed) continue;
       this.#offered.add(id);
+      this.#withdrawn.delete(id);
       kept--;
     }
   }
 
   /** Notes that the store holds the present offers. */
   stored(now: number): void {
-    for (const [id, until] of this.#withdrawn) {
-      if (until === Infinity) this.#withdrawn.set(id, now + withdrawMs);
+    for (const [id, withdrawal] of this.#withdrawn) {
+      if (withdrawal === unconfirmed) {
+        this.#withdrawn.set(id, {
+          anyFrom: now + withdrawMs,
+          protectedFrom: now + withdrawProtectedMs,
+        });
+      } else if (now > withdrawal.protectedFrom) this.#withdrawn.delete(id);
     }
   }
 }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -31,6 +31,14 @@
   readonly wall: number;
 }
 
+/** Which endpoints may get which work, besides what their sessions say. */
+export interface EndpointPolicy {
+  /** Whether an endpoint must not get work. */
+  isClosed(endpoint: string): boolean;
+  /** Whether it must not get a task with an availability budget. */
+  isUnsettled(endpoint: string): boolean;
+}
+
 /** Most tasks that one pass places; the rest waits for the next pass. */
 const maxPlannedTasks = 300;
 
@@ -40,6 +48,8 @@
 /** Room of one endpoint during a pass. */
 interface Slot {
   readonly session: EndpointSession;
+  /** Whether tasks with an availability budget must not come here. */
+  readonly isUnsettled: boolean;
   used: Resources;
   /** Runs by step and occurrence, `JOB.OCCURRENCE.STEP`. */
   readonly steps: Map<string, number>;
@@ -52,11 +62,14 @@
 
 function openSlots(
   sessions: Iterable<EndpointSession>,
+  policy: EndpointPolicy,
   now: number,
 ): readonly Slot[] {
   const slots: Slot[] = [];
   for (const session of sessions) {
+    const { id } = session.endpoint;
     if (!session.isOpen || session.fullUntil > now) continue;
+    if (policy.isClosed(id)) continue;
     const steps = new Map<string, number>();
     let runs = 0;
     for (const run of session.runs.values()) {
@@ -65,7 +78,8 @@
       if (!run.step.longRunning) runs++;
     }
     if (!mayGetWork(session.suspicion, runs, now)) continue;
-    slots.push({ session, used: session.used, steps, runs });
+    const isUnsettled = policy.isUnsettled(id);
+    slots.push({ session, isUnsettled, used: session.used, steps, runs });
   }
   return slots;
 }
@@ -95,7 +109,9 @@
 ): readonly Candidate[] {
   const failedAt = job.failedAt.get(taskName(job.spec.id, ref));
   const key = stepKey(job.spec.id, ref);
-  return slots.map(({ session, used, steps }) => ({
+  const isProtected = job.spec.steps[ref.step].maxUnavailable !== undefined;
+  const usable = slots.filter((slot) => !(isProtected && slot.isUnsettled));
+  return usable.map(({ session, used, steps }) => ({
     id: session.endpoint.id,
     labels: session.endpoint.labels,
     capacity: session.endpoint.capacity,
@@ -168,9 +184,10 @@
 export function planStarts(
   jobs: Iterable<BookedJob>,
   sessions: Iterable<EndpointSession>,
+  policy: EndpointPolicy,
   { now, wall }: PlanTime,
 ): readonly PlannedTask[] {
-  const slots = openSlots(sessions, now);
+  const slots = openSlots(sessions, policy, now);
   if (slots.length === 0) return [];
   const waiting = waitingTasks(jobs, wall);
   const planned: PlannedTask[] = [];
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -17,6 +17,7 @@
   inboxTable,
   isFinal,
   nextRun,
+  onlyKey,
   placedTasks,
   placeTask,
   progressKey,
@@ -31,6 +32,8 @@
 import type { CommitFailure, ShardLease } from "../cluster/index.ts";
 import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
 import {
+  parseJson,
+  partitionsOf,
   type Row,
   type RowChange,
   type Store,
@@ -39,13 +42,14 @@
 import {
   demandKey,
   type PoolDemand,
+  poolDemandSchema,
   type VacateState,
 } from "../upkeep/index.ts";
 import { Caretaker } from "./caretaker.ts";
 import { CommitQueue } from "./commit_queue.ts";
 import { ArrivalRate, hostsWanted } from "./demand.ts";
 import type { DecisionLog } from "./decision_log.ts";
-import { EndpointDriver } from "./endpoint_driver.ts";
+import { EndpointDriver, type PreviousOwner } from "./endpoint_driver.ts";
 import type { Run } from "./endpoint_session.ts";
 import { HostOffers } from "./host_offers.ts";
 import { type BookedJob, JobBook } from "./job_book.ts";
@@ -82,6 +86,7 @@
 export interface ShardParts {
   readonly shard: string;
   readonly lease: ShardLease;
+  readonly previous: PreviousOwner;
   readonly store: Store;
   readonly orders: TaskOrders;
   readonly registry: EndpointRegistry;
@@ -89,6 +94,8 @@
   readonly log: DecisionLog;
   /** Endpoints whose host is due for maintenance, by id. */
   readonly vacating: () => ReadonlyMap<string, VacateState>;
+  /** Reads them anew; false when it can't. */
+  readonly refreshVacating: () => Promise<boolean>;
   readonly crashed: (actor: string, err: unknown) => void;
   /** Called once when the shard belongs to another owner. */
   readonly lost: () => void;
@@ -144,7 +151,8 @@
       report: (row) => this.commits.put(row),
       retract: (row) => this.commits.remove(row),
     });
-    this.#inbox = new TableWatch(store, inboxTable(shard), shard, {
+    const partitions = partitionsOf(shard);
+    this.#inbox = new TableWatch(store, inboxTable(shard), partitions, {
       reset: (rows) => this.#readInbox(rows),
       changed: (changes) => this.#takeInbox(changes),
     });
@@ -158,9 +166,15 @@
   /** Reads the stored state and starts the loops; false when it can't. */
   async start(): Promise<boolean> {
     const { store, shard, registry } = this.parts;
-    const stored = await store.range(progressRange(shard));
-    if (stored.err || this.#stopped) return false;
+    const [stored, demand, isCurrent] = await Promise.all([
+      store.range(progressRange(shard)),
+      store.range(onlyKey(demandKey(shard))),
+      this.parts.refreshVacating(),
+    ]);
+    if (stored.err || demand.err || !isCurrent || this.#stopped) return false;
     this.book.loadProgress(stored.val.rows);
+    const left = parseJson(poolDemandSchema, demand.val.rows[0]?.value ?? "");
+    this.#offers.inherit(left?.offered ?? []);
     const read = await this.#inbox.poll(0);
     if (read.err || this.#stopped) return false;
     this.#unsubscribe = registry.onChange(() => this.#refreshEndpoints());
@@ -261,11 +275,13 @@
     this.#lastPlanAt = now;
     const jobs = this.#activeJobs();
     const vacating = this.parts.vacating();
-    const sessions = this.driver.sessions().filter(({ endpoint: { id } }) =>
-      !vacating.has(id) && !this.#offers.isClosed(id, now)
-    );
+    const policy = {
+      isClosed: (id: string) =>
+        vacating.has(id) || this.#offers.isClosed(id, now),
+      isUnsettled: (id: string) => this.#offers.isUnsettled(id, now),
+    };
     const time = { now, wall: clock.wall() };
-    const planned = planStarts(jobs, sessions, time);
+    const planned = planStarts(jobs, this.driver.sessions(), policy, time);
     // Gang members share a run, so numbers are drawn before any is placed.
     const runs = planned.map(({ job, ref }) =>
       nextRun(job.progress, job.spec, ref)
--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -79,6 +79,7 @@
     this.#shards = new ShardKeeper({
       ...parts,
       vacating: () => this.#vacating,
+      refreshVacating: () => this.#refreshVacating(),
       isFollowing: () => parts.followed.every((f) => f.watch.isFollowing),
       storeSeen: () => {
         this.#storeSeenAt = clock.now();
@@ -103,7 +104,7 @@
     for (const table of this.parts.followed) {
       this.#actors.loop(table.name, () => this.#follow(table));
     }
-    const vacate = new TableWatch(this.parts.store, vacateTable, fleetShard, {
+    const vacate = new TableWatch(this.parts.store, vacateTable, [fleetShard], {
       reset: (rows) => {
         this.#vacating.clear();
         for (const row of rows) {
@@ -141,6 +142,19 @@
     this.#actors.stop();
   }
 
+  /** Adds what the table holds now, in case the feed is behind. */
+  async #refreshVacating(): Promise<boolean> {
+    const read = await this.parts.store.range({
+      table: vacateTable,
+      partition: fleetShard,
+    });
+    if (read.err) return false;
+    for (const { key, value } of read.val.rows) {
+      this.#vacating.set(key, decodeVacate(value));
+    }
+    return true;
+  }
+
   async #follow(table: FollowedTable): Promise<number> {
     const polled = await table.watch.poll(table.waitMs);
     const { clock, log } = this.parts;
--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -2,21 +2,34 @@
  * Decides with the other entries, through the store, which shards this entry
  * owns, and runs their owners.
  */
-import type { CatalogHolder } from "../catalog/index.ts";
+import type { Catalog, CatalogHolder } from "../catalog/index.ts";
 import type { Clock } from "../clock/index.ts";
 import {
   assignShards,
   type Holder,
   type Member,
   memberLeaseMs,
+  memberSchema,
   MemberView,
+  type Owner,
   readOwner,
   ShardLease,
   shardToRelease,
 } from "../cluster/index.ts";
 import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
-import { type DecisionLog, ShardOwner } from "../scheduler/index.ts";
-import type { Store } from "../store/index.ts";
+import {
+  type DecisionLog,
+  type PreviousOwner,
+  ShardOwner,
+} from "../scheduler/index.ts";
+import {
+  parseJson,
+  partitionOf,
+  partitionsOf,
+  type Row,
+  type Store,
+  TableWatch,
+} from "../store/index.ts";
 import {
   FleetOwner,
   fleetShard,
@@ -35,7 +48,6 @@
 const rebalanceMs = 5_000;
 
 const membersTable = "members";
-const membersPartition = "members";
 
 /** What the keeper works with. */
 export interface ShardKeeperParts {
@@ -51,6 +63,7 @@
   readonly crashed: (actor: string, err: unknown) => void;
   readonly handoverMs: number;
   readonly vacating: () => ReadonlyMap<string, VacateState>;
+  readonly refreshVacating: () => Promise<boolean>;
   /** Whether the operator's table and the endpoints have been read. */
   readonly isFollowing: () => boolean;
   /** Called after each answer of the store. */
@@ -74,6 +87,8 @@
   readonly #owned = new Map<string, OwnedShard>();
   readonly #taking = new Set<string>();
   readonly #sightings = new Map<string, OwnerSighting>();
+  readonly #members: TableWatch;
+  readonly #memberRows = new Map<string, Row>();
   readonly #startedAt: number;
   #view = MemberView.empty;
   #releasedAt: number;
@@ -82,6 +97,20 @@
   constructor(private readonly parts: ShardKeeperParts) {
     this.#startedAt = parts.clock.now();
     this.#releasedAt = this.#startedAt;
+    const partitions = partitionsOf(membersTable);
+    this.#members = new TableWatch(parts.store, membersTable, partitions, {
+      reset: (rows) => {
+        this.#memberRows.clear();
+        for (const row of rows) this.#memberRows.set(row.key, row);
+      },
+      changed: (changes) => {
+        for (const change of changes) {
+          const { key } = change.row;
+          if (change.kind === "removed") this.#memberRows.delete(key);
+          else this.#memberRows.set(key, change.row);
+        }
+      },
+    });
   }
 
   get size(): number {
@@ -90,15 +119,16 @@
 
   /** One heartbeat; returns the time until the next, in ms. */
   async pass(): Promise<number> {
-    const { clock, store } = this.parts;
+    const { clock } = this.parts;
     const startedAt = clock.now();
     const [, read] = await Promise.all([
       this.#heartbeat(),
-      store.range({ table: membersTable, partition: membersPartition }),
+      this.#members.poll(0),
     ]);
     if (read.ok && !this.#stopping) {
       this.parts.storeSeen();
-      this.#view = this.#view.observe(read.val.rows, clock.now());
+      const rows = [...this.#memberRows.values()];
+      this.#view = this.#view.observe(rows, clock.now());
       if (clock.now() - this.#startedAt > settleMs) this.#claim();
     }
     return Math.max(0, startedAt + heartbeatMs - clock.now());
@@ -117,7 +147,7 @@
     const { store, log } = this.parts;
     const key = {
       table: membersTable,
-      partition: membersPartition,
+      partition: partitionOf(membersTable, this.parts.self.entry),
       key: this.parts.self.entry,
     };
     const value = JSON.stringify(this.#describe());
@@ -142,8 +172,7 @@
     const others = this.#view.live(clock.now())
       .filter((m) => m.entry !== self.entry);
     const members = [...others, this.#describe()];
-    const pools = catalog.current.pools.map((pool) => pool.name);
-    const assigned = assignShards([fleetShard, ...pools], members);
+    const assigned = assignShards(this.#shards(catalog.current), members);
     for (const [shard, entry] of assigned) {
       if (entry === self.entry && !this.#taking.has(shard)) {
         this.#take(shard, members);
@@ -152,6 +181,12 @@
     this.#balance(members);
   }
 
+  /** The fleet, and each pool that serves callers or has served them. */
+  #shards({ pools }: Catalog): readonly string[] {
+    const serving = pools.filter((pool) => !pool.standby);
+    return [fleetShard, ...serving.map((pool) => pool.name)];
+  }
+
   #balance(members: readonly Member[]): void {
     const { self, clock, log } = this.parts;
     if (clock.now() - this.#releasedAt < rebalanceMs) return;
@@ -189,7 +224,7 @@
         from: owner?.entry,
         version,
       });
-      await this.#run(shard, lease);
+      await this.#run(shard, lease, this.#previous(owner));
     } finally {
       this.#taking.delete(shard);
     }
@@ -206,7 +241,21 @@
     return now - seen.seenAt > memberLeaseMs;
   }
 
-  async #run(shard: string, lease: ShardLease): Promise<void> {
+  /** Whether an earlier owner may go on ordering without the store. */
+  #previous(owner: Owner | undefined): PreviousOwner {
+    if (owner === undefined || owner.boot === "") return "ended";
+    const row = this.#memberRows.get(owner.entry);
+    const member = row && parseJson(memberSchema, row.value);
+    const restarted = member !== undefined && member.boot !== owner.boot;
+    const isOwn = owner.entry === this.parts.self.entry;
+    return restarted || isOwn ? "ended" : "silent";
+  }
+
+  async #run(
+    shard: string,
+    lease: ShardLease,
+    previous: PreviousOwner,
+  ): Promise<void> {
     if (shard === fleetShard) {
       this.#owned.set(shard, this.#runFleet(lease));
       return;
@@ -215,6 +264,7 @@
       ...this.parts,
       shard,
       lease,
+      previous,
       lost: () => this.#dropped(shard, owner),
     });
     this.#owned.set(shard, owner);
--- a/src/settings/batch_settings.ts
+++ b/src/settings/batch_settings.ts
@@ -44,7 +44,7 @@
         "info",
       ),
       /** Most lines a second; more are counted and dropped. */
-      lines_per_s: whole(1, 100_000, 400),
+      lines_per_s: whole(1, 100_000, 500),
     }, section),
     {},
   ),
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,4 +1,5 @@
 /** The transactional row store that all entries share. */
 export * from "./store.ts";
 export { parseJson } from "./json_row.ts";
+export { partitionOf, partitionsOf } from "./partitions.ts";
 export { TableWatch, type WatchHandler } from "./table_watch.ts";
--- a/src/store/table_watch.ts
+++ b/src/store/table_watch.ts
@@ -1,5 +1,5 @@
 /**
- * Follows one partition of a table: a full read, then the feed, and a full
+ * Follows a table: a full read of its partitions, then the feed, and a full
  * read again whenever the feed has lost its history.
  */
 import { Ok, type Result } from "ts-results";
@@ -7,7 +7,7 @@
 
 /** What a watcher is told. */
 export interface WatchHandler {
-  /** The whole partition, which replaces all that was known. */
+  /** The whole table, which replaces all that was known. */
   reset(rows: readonly Row[]): void;
   /** Changes since the last call, in commit order. */
   changed(changes: readonly RowChange[]): void;
@@ -16,20 +16,18 @@
 /** A position in a table's history. */
 export class TableWatch {
   #version: number | undefined;
+  readonly #partitions: ReadonlySet<string>;
 
   constructor(
     private readonly store: Store,
     private readonly table: string,
-    private readonly partition: string,
+    partitions: readonly string[],
     private readonly handler: WatchHandler,
-  ) {}
-
-  /** Starts over with a full read at the next poll. */
-  restart(): void {
-    this.#version = undefined;
+  ) {
+    this.#partitions = new Set(partitions);
   }
 
-  /** Whether a full read has succeeded since the last restart. */
+  /** Whether a full read has succeeded, and the feed goes on from it. */
   get isFollowing(): boolean {
     return this.#version !== undefined;
   }
@@ -44,18 +42,29 @@
     }
     this.#version = feed.val.version;
     const own = feed.val.changes.filter((c) =>
-      c.row.partition === this.partition
+      this.#partitions.has(c.row.partition)
     );
     if (own.length > 0) this.handler.changed(own);
     return Ok(undefined);
   }
 
+  /** The feed goes on from the oldest read, so that nothing is missed. */
   async #readAll(): Promise<Result<void, StoreFailure>> {
-    const { table, partition } = this;
-    const all = await this.store.range({ table, partition });
-    if (all.err) return all;
-    this.#version = all.val.version;
-    this.handler.reset(all.val.rows);
+    const { table } = this;
+    const reads = await Promise.all(
+      [...this.#partitions].map((partition) =>
+        this.store.range({ table, partition })
+      ),
+    );
+    const rows: Row[] = [];
+    let version = Infinity;
+    for (const read of reads) {
+      if (read.err) return read;
+      rows.push(...read.val.rows);
+      version = Math.min(version, read.val.version);
+    }
+    this.#version = version;
+    this.handler.reset(rows);
     return Ok(undefined);
   }
 }
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -42,6 +42,12 @@
  */
 const orderFreshnessMs = 1_000;
 
+/**
+ * Age of the pools' offers from which no host is moved, in ms: less than the
+ * time for which a withdrawn endpoint is kept empty.
+ */
+const offerFreshnessMs = 350;
+
 /** Time for which a host whose move was rejected is left alone, in ms. */
 const rejectedMoveMs = 2_000;
 
@@ -148,8 +154,8 @@
   async #sizePools(hosts: readonly ListedHost[]): Promise<void> {
     const { catalog, clock } = this.parts;
     const pools = catalog.current?.pools ?? [];
-    const demands = await this.#readDemands(pools.map((pool) => pool.name));
     const now = clock.now();
+    const demands = await this.#readDemands(pools.map((pool) => pool.name));
     this.#noteOffers(demands, now);
     const pending = this.#waves.pendingHosts();
     const planned = planSizes({
@@ -164,6 +170,8 @@
       Number(pending.has(a.host)) - Number(pending.has(b.host))
     );
     for (const move of moves) {
+      // An offer that was read too long ago may have been withdrawn.
+      if (clock.now() - now > offerFreshnessMs) break;
       if (!await this.#move(move)) break;
     }
   }
--- a/src/upkeep/wave_plan.ts
+++ b/src/upkeep/wave_plan.ts
@@ -51,15 +51,6 @@
 /** Share of a wave's time that the plan fills; the rest is for delays. */
 const plannedShare = 0.75;
 
-/**
- * Time after which a host that is not empty may be taken down if the wave
- * would end late otherwise, in ms.
- */
-const vacateLimitMs = 6_000;
-
-/** Share of its time after which a wave is short of it. */
-const shortOfTime = 0.75;
-
 /** Whether nothing of a wave is left to do. */
 export function isWaveComplete(wave: Wave, progress: WaveProgress): boolean {
   const ended = new Set(progress.ended);
@@ -106,7 +97,6 @@
   const ended = new Set(progress.ended);
   const down = progress.begun.filter((host) => !ended.has(host)).length;
   const left = wave.hosts.filter((host) => !begun.has(host));
-  const late = now - progress.startedAt > wave.durationMs * shortOfTime;
   const parallel = neededParallel(wave, progress, now);
   const begin: ListedHost[] = [];
   const vacate: string[] = [];
@@ -114,10 +104,9 @@
   for (const host of inTurn(left, listed)) {
     const { endpoint } = host;
     const since = vacatingSince(endpoint);
-    const waited = since !== undefined && now - since > vacateLimitMs && late;
     const isEmpty = endpoint === "" || empty.has(endpoint);
     const mayBegin = down + begin.length < wave.maxParallel;
-    if ((isEmpty || waited) && mayBegin) {
+    if (isEmpty && mayBegin) {
       begin.push(host);
       away++;
     } else if (since !== undefined) {
