Order by the time left, stop runs of ended jobs on take-over, let leases follow the store's delay

(2) In a surge jobs were served in the order of their deadline although they could no longer meet it. (3) A dead owner was missed for 2.5 s.

--- a/src/cluster/members.ts
+++ b/src/cluster/members.ts
@@ -8,8 +8,14 @@
 import * as v from "valibot";
 import { parseJson, type Row } from "../store/index.ts";
 
-/** Time without a heartbeat after which a member counts as dead, in ms. */
-export const memberLeaseMs = 2_500;
+/**
+ * Time without a heartbeat after which a member counts as dead while the
+ * store answers at once, in ms: three heartbeats.
+ */
+export const memberLeaseMs = 1_600;
+
+/** Delays of the store by which that time grows: a write and a read. */
+const leaseDelays = 3;
 
 /**
  * Time between two reads, in ms, after which silence of the members proves
@@ -61,10 +67,14 @@
     return new MemberView(next, now);
   }
 
-  /** Members whose heartbeat is recent. */
-  live(now: number): readonly Member[] {
+  /**
+   * Members whose heartbeat is recent. A slow store delays every heartbeat,
+   * so the reader's own delay (`delayMs`) makes it wait longer.
+   */
+  live(now: number, delayMs = 0): readonly Member[] {
+    const leaseMs = memberLeaseMs + leaseDelays * delayMs;
     return [...this.sightings.values()]
-      .filter((s) => now - s.changedAt < memberLeaseMs)
+      .filter((s) => now - s.changedAt < leaseMs)
       .map((s) => s.member);
   }
 }
--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -2,7 +2,7 @@
  * Looks after runs that go wrong or are in the way: stops those that stand
  * still, and moves long-running tasks off endpoints that are about to leave.
  */
-import { taskAt } from "../batch/index.ts";
+import { isFinal, taskAt } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import type { RowKey, RowPut } from "../store/index.ts";
 import type { EndpointDriver } from "./endpoint_driver.ts";
@@ -71,9 +71,13 @@
   #stopStalled(session: EndpointSession): void {
     const now = this.parts.clock.now();
     for (const run of session.runs.values()) {
-      if (run.phase !== "running" || !isStalled(run, now)) continue;
+      if (run.phase !== "running") continue;
       const job = this.parts.book.jobs.get(run.job);
-      if (job === undefined) continue;
+      if (job === undefined || isFinal(job.progress.phase)) {
+        this.parts.driver.stopRun(session, run, "job is final");
+        continue;
+      }
+      if (!isStalled(run, now)) continue;
       this.parts.book.noteFailure(job, run.ref, session.endpoint.id);
       session.suspicion = afterFailure(session.suspicion, run.job, now);
       this.parts.driver.stopRun(session, run, "no progress");
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -66,6 +66,11 @@
     this.#runMs.set(queue, known + (ms - known) * runTimeWeight);
   }
 
+  /** Mean run time of a queue's tasks in ms; undefined before the first. */
+  runMs(queue: string): number | undefined {
+    return this.#runMs.get(queue);
+  }
+
   /** Processor that the arriving work keeps busy, in thousandths of a core. */
   cpuMillis(now: number): number {
     this.#arrivals = this.#arrivals.filter((a) =>
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -406,7 +406,11 @@
     session.readClock(lists.clockMs, now);
     session.silent = false;
     const findings = session.compare(lists, sentAt, now);
-    for (const run of findings.confirmed) this.parts.begun(run);
+    for (const run of findings.confirmed) {
+      this.parts.begun(run);
+      // A run that an earlier owner started for a job that has since ended.
+      if (!this.parts.mayStart(run)) this.stopRun(session, run, "unwanted");
+    }
     for (const { task, run, end, checkpoint } of findings.ended) {
       this.#takeEnd(session, task, run, end, checkpoint);
     }
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -3,10 +3,14 @@
  *
  * A job earns its full benefit up to its objective, a small part up to three
  * times the objective, and nothing later. So jobs that can still meet their
- * objective go first, the earliest deadline first; then those that are late;
- * then those that have missed both, which still have to be done. The queue's
- * priority goes before all of that, and long-running tasks, which earn as
- * long as they run, before the others of their priority.
+ * objective go first, the one that has to start soonest before the others;
+ * then those that can only be late; then those that have missed both, which
+ * still have to be done. The queue's priority goes before all of that, and
+ * long-running tasks, which earn as long as they run, before the others of
+ * their priority.
+ *
+ * Callers' estimates are far off, so the run time of a step is taken from
+ * what tasks of its queue have taken, where that is known.
  */
 import {
   dueAt,
@@ -19,12 +23,18 @@
 /** A job's late benefit ends at this multiple of its objective. */
 const lateFactor = 3;
 
-/** Length of the longest chain of steps by the caller's estimates, in ms. */
-export function longestChainMs(steps: readonly StepSpec[]): number {
+/** Expected run time of a step's tasks in ms; 0 for a step that is done. */
+export type StepTime = (step: StepSpec, index: number) => number;
+
+/** Length of the longest chain of steps, in ms. */
+export function longestChainMs(
+  steps: readonly StepSpec[],
+  timeOf: StepTime = (step) => step.estimateMs,
+): number {
   const ends: number[] = [];
   steps.forEach((step, i) => {
     const before = step.after.filter((b) => b < i).map((b) => ends[b]);
-    ends[i] = Math.max(0, ...before) + step.estimateMs;
+    ends[i] = Math.max(0, ...before) + timeOf(step, i);
   });
   return Math.max(0, ...ends);
 }
@@ -34,24 +44,42 @@
   readonly priority: number;
   /** 0 long-running, 1 on time, 2 late, 3 without benefit. */
   readonly tier: number;
-  /** Wall-clock time in ms. */
+  /** Wall-clock time by which it has to start, in ms. */
   readonly deadline: number;
 }
 
-/** The rank of an occurrence at a wall-clock time. */
-export function rankOf(spec: JobSpec, occurrence: number, now: number): Rank {
+/** What a rank is worked out from, besides the job. */
+export interface RankView {
+  /** Wall-clock time in ms. */
+  readonly now: number;
+  /** Expected run time of a task of the queue in ms; undefined: not known. */
+  readonly runMs: number | undefined;
+  /** Whether a step of the occurrence is done. */
+  readonly isDone: (step: number) => boolean;
+}
+
+/** The rank of an occurrence. */
+export function rankOf(
+  spec: JobSpec,
+  occurrence: number,
+  { now, runMs, isDone }: RankView,
+): Rank {
   const { priority } = spec;
   const begins = spec.schedule === undefined
     ? spec.acceptedAt
     : dueAt(spec, occurrence);
   if (isLongRunning(spec)) return { priority, tier: 0, deadline: begins };
-  const objective = spec.sloMs + spec.stretch * longestChainMs(spec.steps);
-  const age = now - begins;
-  if (age <= objective) {
-    return { priority, tier: 1, deadline: begins + objective };
-  }
-  const end = begins + lateFactor * objective;
-  return { priority, tier: now <= end ? 2 : 3, deadline: end };
+  const timeOf: StepTime = (step) => runMs ?? step.estimateMs;
+  const whole = longestChainMs(spec.steps, timeOf);
+  const left = longestChainMs(
+    spec.steps,
+    (step, i) => isDone(i) ? 0 : timeOf(step, i),
+  );
+  const objective = spec.sloMs + spec.stretch * whole;
+  const onTime = begins + objective - left;
+  if (now <= onTime) return { priority, tier: 1, deadline: onTime };
+  const late = begins + lateFactor * objective - left;
+  return { priority, tier: now <= late ? 2 : 3, deadline: late };
 }
 
 /** Orders ranks. */
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -4,6 +4,7 @@
  * which the caller takes as the plan is carried out.
  */
 import {
+  isStepDone,
   type Resources,
   startableTasks,
   type StepSpec,
@@ -23,12 +24,14 @@
   readonly endpoint: string;
 }
 
-/** Times of a pass. */
+/** Times that a pass goes by. */
 export interface PlanTime {
   /** Steady time in ms. */
   readonly now: number;
   /** Wall-clock time in ms. */
   readonly wall: number;
+  /** Mean run time of a queue's tasks in ms, where it is known. */
+  readonly runMsOf: (queue: string) => number | undefined;
 }
 
 /** Which endpoints may get which work, besides what their sessions say. */
@@ -87,6 +90,7 @@
 function waitingTasks(
   jobs: Iterable<BookedJob>,
   wall: number,
+  runMsOf: (queue: string) => number | undefined,
 ): readonly (WaitingTask & { readonly job: BookedJob })[] {
   const waiting: (WaitingTask & { readonly job: BookedJob })[] = [];
   for (const job of jobs) {
@@ -94,7 +98,14 @@
     const ranks = new Map<number, WaitingTask["rank"]>();
     for (const ref of startableTasks(job.progress, spec)) {
       const known = ranks.get(ref.occurrence);
-      const rank = known ?? rankOf(spec, ref.occurrence, wall);
+      const rank = known ?? rankOf(spec, ref.occurrence, {
+        now: wall,
+        runMs: runMsOf(spec.queue),
+        isDone: (step) => {
+          const tasks = job.progress.open.get(ref.occurrence);
+          return tasks !== undefined && isStepDone(tasks, step);
+        },
+      });
       ranks.set(ref.occurrence, rank);
       waiting.push({ job, spec, ref, rank });
     }
@@ -185,11 +196,11 @@
   jobs: Iterable<BookedJob>,
   sessions: Iterable<EndpointSession>,
   policy: EndpointPolicy,
-  { now, wall }: PlanTime,
+  { now, wall, runMsOf }: PlanTime,
 ): readonly PlannedTask[] {
   const slots = openSlots(sessions, policy, now);
   if (slots.length === 0) return [];
-  const waiting = waitingTasks(jobs, wall);
+  const waiting = waitingTasks(jobs, wall, runMsOf);
   const planned: PlannedTask[] = [];
   const gangs = new Set<string>();
   let misses = 0;
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -115,6 +115,7 @@
   #counts = "";
   #countsAt = -Infinity;
   #demand = "";
+  #want = 0;
   #demandAt = -Infinity;
   readonly #arrivals = new ArrivalRate();
   readonly #offers = new HostOffers();
@@ -280,7 +281,8 @@
         vacating.has(id) || this.#offers.isClosed(id, now),
       isUnsettled: (id: string) => this.#offers.isUnsettled(id, now),
     };
-    const time = { now, wall: clock.wall() };
+    const runMsOf = (queue: string) => this.#arrivals.runMs(queue);
+    const time = { now, wall: clock.wall(), runMsOf };
     const planned = planStarts(jobs, this.driver.sessions(), policy, time);
     // Gang members share a run, so numbers are drawn before any is placed.
     const runs = planned.map(({ job, ref }) =>
@@ -401,6 +403,16 @@
     const arriving = this.#arrivals.cpuMillis(now);
     const want = hostsWanted(this.#activeJobs(), sessions, arriving);
     this.#offers.adjust(sessions, want);
+    if (want !== this.#want) {
+      this.#want = want;
+      this.parts.log.decision("pool-demand", {
+        shard: this.parts.shard,
+        want,
+        endpoints: sessions.filter((s) => s.isOpen).length,
+        offered: this.#offers.offered.length,
+        arrivingCpu: Math.round(arriving),
+      });
+    }
     const demand: PoolDemand = { want, offered: [...this.#offers.offered] };
     const value = JSON.stringify(demand);
     if (value === this.#demand) return;
--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -38,8 +38,8 @@
   type WaveBoard,
 } from "../upkeep/index.ts";
 
-/** Time between two heartbeats, in ms; five fit into a member's lease. */
-const heartbeatMs = 500;
+/** Time between two heartbeats, in ms; three fit into a member's lease. */
+const heartbeatMs = 450;
 
 /** Time after the start before shards are taken, so that all members show. */
 const settleMs = 800;
@@ -92,6 +92,8 @@
   readonly #startedAt: number;
   #view = MemberView.empty;
   #releasedAt: number;
+  /** Time that the last heartbeat took, in ms. */
+  #delayMs = 0;
   #stopping = false;
 
   constructor(private readonly parts: ShardKeeperParts) {
@@ -144,18 +146,20 @@
   }
 
   async #heartbeat(): Promise<void> {
-    const { store, log } = this.parts;
+    const { store, clock, log } = this.parts;
     const key = {
       table: membersTable,
       partition: partitionOf(membersTable, this.parts.self.entry),
       key: this.parts.self.entry,
     };
     const value = JSON.stringify(this.#describe());
+    const sentAt = clock.now();
     const sent = await store.commit({
       checks: [],
       puts: [{ ...key, value }],
       removes: [],
     });
+    this.#delayMs = clock.now() - sentAt;
     if (sent.ok) this.parts.storeSeen();
     else log.decision("heartbeat-failed", { message: sent.val.message });
   }
@@ -169,7 +173,7 @@
   #claim(): void {
     const { self, clock, catalog, isFollowing } = this.parts;
     if (catalog.current === undefined || !isFollowing()) return;
-    const others = this.#view.live(clock.now())
+    const others = this.#view.live(clock.now(), this.#delayMs)
       .filter((m) => m.entry !== self.entry);
     const members = [...others, this.#describe()];
     const assigned = assignShards(this.#shards(catalog.current), members);
