Add a model of the platform with an oracle, and tests of the decisions

The model runs several entries of the real code on a virtual clock with a store that loses, delays and refuses, endpoints with leases on drifting clocks, and hosts that move.

--- /dev/null
+++ b/sim/jobs.ts
@@ -0,0 +1,75 @@
+/** Jobs for the model, drawn from a seed. */
+import type { JobSpec, StepSpec } from "../src/batch/index.ts";
+import { queueOf } from "./world.ts";
+
+/** Kinds of job that the model's callers send. */
+export const jobKinds = [
+  "single",
+  "chain",
+  "wide",
+  "lasting",
+  "poison",
+] as const;
+export type JobKind = typeof jobKinds[number];
+
+/** A step of ordinary tasks. */
+export function plainStep(count: number, after: readonly number[]): StepSpec {
+  return {
+    count,
+    demand: { cpuMillis: 900, memoryMb: 500, gpus: 0 },
+    estimateMs: 600,
+    after: [...after],
+    checkpoints: false,
+    gang: false,
+    rackLocal: false,
+    label: "",
+    rack: "",
+    maxPerEndpoint: 0,
+    speculative: false,
+    longRunning: false,
+    image: "",
+    targetMs: 0,
+    filler: false,
+  };
+}
+
+function stepsOf(kind: JobKind): StepSpec[] {
+  switch (kind) {
+    case "single":
+    case "poison":
+      return [plainStep(1, [])];
+    case "chain":
+      return [plainStep(2, []), plainStep(1, [0]), plainStep(2, [1])];
+    case "wide":
+      return [plainStep(8, []), plainStep(2, [0])];
+    case "lasting":
+      return [{
+        ...plainStep(3, []),
+        demand: { cpuMillis: 500, memoryMb: 500, gpus: 0 },
+        longRunning: true,
+        maxPerEndpoint: 1,
+        maxUnavailable: 1,
+      }];
+  }
+}
+
+/** The job with a number; equal numbers give equal jobs. */
+export function jobOf(
+  number: number,
+  kind: JobKind,
+  pool: string,
+  wall: number,
+): JobSpec {
+  const queue = queueOf(pool);
+  return {
+    id: number.toString(16).padStart(16, "0"),
+    queue: queue.name,
+    payload: kind === "poison" ? "poison" : `payload ${number}`,
+    steps: stepsOf(kind),
+    priority: queue.priority,
+    maxAttempts: queue.maxAttempts,
+    sloMs: queue.sloMs,
+    stretch: queue.stretch,
+    acceptedAt: wall,
+  };
+}
--- /dev/null
+++ b/sim/model_store.ts
@@ -0,0 +1,197 @@
+/**
+ * A model of the row store: linearizable, with delays, outages for some or
+ * all processes, lost answers, late effects, and dropped history.
+ */
+import { Err, Ok, type Result } from "ts-results";
+import type {
+  CommitOutcome,
+  FeedResult,
+  RangeQuery,
+  RangeResult,
+  Row,
+  RowChange,
+  RowKey,
+  Store,
+  StoreFailure,
+  Transaction,
+} from "../src/store/index.ts";
+import type { ProcessClock, VirtualClock } from "./virtual_clock.ts";
+
+/** One way between a process and the store, and a transaction, in ms. */
+const wayMs = 2;
+const transactionMs = 5;
+
+/** Time limit of a call, in ms. */
+const callMs = 1_800;
+
+/** Latest time after a lost call at which it may take effect, in ms. */
+const lateMs = 5_000;
+
+/** What the store does to the calls of a process. */
+export type StoreMood = "serves" | "refuses" | "silent";
+
+function addressOf({ table, partition, key }: RowKey): string {
+  return `${table}\n${partition}\n${key}`;
+}
+
+/** The store, shared by all processes. */
+export class ModelStore {
+  readonly #rows = new Map<string, Row>();
+  #history: { readonly version: number; readonly change: RowChange }[] = [];
+  #version = 0;
+  #oldest = 0;
+  readonly #waiters = new Set<() => void>();
+  readonly #moods = new Map<string, StoreMood>();
+  /** Share of commits whose answer is lost; half of those act late. */
+  lostShare = 0;
+  /** Factor of all delays. */
+  slowness = 1;
+
+  constructor(
+    private readonly clock: VirtualClock,
+    private readonly random: () => number,
+  ) {}
+
+  /** Sets what a process meets. */
+  setMood(entry: string, mood: StoreMood): void {
+    this.#moods.set(entry, mood);
+  }
+
+  /** Drops the history, so that feeds have to start over. */
+  compact(): void {
+    this.#history = [];
+    this.#oldest = this.#version;
+  }
+
+  /** All rows of a table. */
+  table(name: string): readonly Row[] {
+    return [...this.#rows.values()].filter((row) => row.table === name);
+  }
+
+  /** Writes as the operator or an endpoint does. */
+  write(row: RowKey, value: string | undefined): void {
+    this.#apply({
+      checks: [],
+      puts: value === undefined ? [] : [{ ...row, value }],
+      removes: value === undefined ? [row] : [],
+    });
+  }
+
+  /** The store as one process reaches it. */
+  connect(entry: string, process: ProcessClock): Store {
+    return {
+      commit: (tx) =>
+        process.deliver(this.#call(entry, () => this.#commit(tx))),
+      range: (query) =>
+        process.deliver(this.#call(entry, () => this.#range(query))),
+      feed: (table, after, waitMs) =>
+        process.deliver(
+          this.#call(entry, () => this.#feed(table, after, waitMs)),
+        ),
+    };
+  }
+
+  #wait(ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      this.clock.after(ms, resolve);
+    });
+  }
+
+  async #call<T>(
+    entry: string,
+    serve: () => Promise<Result<T, StoreFailure>>,
+  ): Promise<Result<T, StoreFailure>> {
+    await this.#wait(wayMs * this.slowness);
+    const mood = this.#moods.get(entry) ?? "serves";
+    if (mood === "refuses") {
+      return Err({ kind: "refused", message: "status 503" });
+    }
+    if (mood === "silent") {
+      await this.#wait(callMs);
+      return Err({ kind: "unknown", message: "no answer" });
+    }
+    const served = await serve();
+    await this.#wait(wayMs * this.slowness);
+    // An answer on its way is lost when the process is cut off meanwhile.
+    if (this.#moods.get(entry) === "silent") {
+      await this.#wait(callMs);
+      return Err({ kind: "unknown", message: "no answer" });
+    }
+    return served;
+  }
+
+  async #commit(tx: Transaction): Promise<Result<CommitOutcome, StoreFailure>> {
+    await this.#wait(transactionMs * this.slowness);
+    if (this.random() < this.lostShare) {
+      const late = this.random() < 0.5 ? this.random() * lateMs : 0;
+      if (late === 0) this.#apply(tx);
+      else this.clock.after(late, () => this.#apply(tx));
+      await this.#wait(callMs);
+      return Err({ kind: "unknown", message: "no answer" });
+    }
+    return Ok(this.#apply(tx));
+  }
+
+  #apply(tx: Transaction): CommitOutcome {
+    const current = tx.checks.map((c) => this.#rows.get(addressOf(c)));
+    const holds = tx.checks.every((c, i) =>
+      (current[i]?.version ?? 0) === c.version
+    );
+    if (!holds) {
+      const rows = current.filter((row) => row !== undefined);
+      return { kind: "conflict", rows };
+    }
+    const version = ++this.#version;
+    for (const put of tx.puts) {
+      const row = { ...put, version };
+      this.#rows.set(addressOf(row), row);
+      this.#history.push({ version, change: { kind: "put", row } });
+    }
+    for (const row of tx.removes) {
+      if (!this.#rows.delete(addressOf(row))) continue;
+      this.#history.push({ version, change: { kind: "removed", row } });
+    }
+    const waiters = [...this.#waiters];
+    this.#waiters.clear();
+    for (const wake of waiters) wake();
+    return { kind: "committed", version };
+  }
+
+  #range(query: RangeQuery): Promise<Result<RangeResult, StoreFailure>> {
+    const rows = [...this.#rows.values()]
+      .filter((row) =>
+        row.table === query.table && row.partition === query.partition &&
+        (query.from === undefined || row.key >= query.from) &&
+        (query.to === undefined || row.key < query.to)
+      )
+      .sort((a, b) => a.key < b.key ? -1 : 1);
+    return Promise.resolve(Ok({ rows, version: this.#version }));
+  }
+
+  async #feed(
+    table: string,
+    after: number,
+    waitMs: number,
+  ): Promise<Result<FeedResult, StoreFailure>> {
+    const until = this.clock.now() + waitMs;
+    for (;;) {
+      if (after < this.#oldest) {
+        return Err({ kind: "expired", message: "history is gone" });
+      }
+      const changes = this.#history
+        .filter((h) => h.version > after && h.change.row.table === table)
+        .map((h) => h.change);
+      const left = until - this.clock.now();
+      if (changes.length > 0 || left <= 0) {
+        return Ok({ changes, version: this.#version });
+      }
+      await new Promise<void>((resolve) => {
+        const cancel = this.clock.after(left, resolve);
+        this.#waiters.add(() => {
+          cancel();
+          resolve();
+        });
+      });
+    }
+  }
+}
--- a/test/fuzz/virtual_clock.ts
+++ b/sim/virtual_clock.ts
@@ -1,6 +1,6 @@
 /** A clock that tests advance, and a view of it that pauses or dies. */
 import { setImmediate as nextTurn } from "node:timers/promises";
-import type { Clock } from "../../src/clock/index.ts";
+import type { Clock } from "../src/clock/index.ts";
 
 const wallStart = 1_700_000_000_000;
 /** Event-loop turns after each step, in which actors and promises go on. */
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -259,6 +259,7 @@
       const job = this.book.jobs.get(id);
       if (job?.spec.schedule !== undefined) this.book.openDue(job, wall, now);
     }
+    this.driver.refresh();
     this.#caretaker.pass();
     this.#expireJobs(now);
     this.#writeCounts(now);
--- /dev/null
+++ b/test/cluster/shard_lease_test.ts
@@ -0,0 +1,145 @@
+/** Ownership of a shard under lost and late answers of the store. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ModelStore } from "../../sim/model_store.ts";
+import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
+import {
+  assignShards,
+  type Member,
+  memberLeaseMs,
+  MemberView,
+  readOwner,
+  ShardLease,
+  shardToRelease,
+} from "../../src/cluster/index.ts";
+
+const row = { table: "t", partition: "s", key: "k" };
+
+async function settle<T>(clock: VirtualClock, promise: Promise<T>): Promise<T> {
+  let result: { readonly value: T } | undefined;
+  promise.then((value) => {
+    result = { value };
+  });
+  for (let i = 0; i < 1_000 && result === undefined; i++) {
+    await clock.advance(10);
+  }
+  if (result === undefined) throw new Error("nothing came back");
+  return result.value;
+}
+
+function setUp(random = () => 1) {
+  const clock = new VirtualClock();
+  const store = new ModelStore(clock, random);
+  const connect = (entry: string) =>
+    store.connect(entry, new ProcessClock(clock));
+  const acquire = async (entry: string) => {
+    const client = connect(entry);
+    const read = await settle(clock, readOwner(client, "s"));
+    const holder = { entry, boot: `${entry}#1` };
+    const before = read.unwrap();
+    return await settle(
+      clock,
+      ShardLease.acquire(client, clock, "s", holder, before),
+    );
+  };
+  return { clock, store, acquire };
+}
+
+describe("a shard's lease", () => {
+  describe("when another entry takes over", () => {
+    it("raises the term, and the earlier owner commits nothing more", async () => {
+      const { clock, acquire } = setUp();
+      const first = await acquire("a");
+      const second = await acquire("b");
+      assert.equal(second?.term, 2);
+      const put = { ...row, value: "old" };
+      const late = await settle(clock, first!.commit([put], []));
+      assert.equal(late.err && late.val.kind, "lost");
+      assert.equal(first?.isLost, true);
+    });
+  });
+
+  describe("when an answer is lost after the commit took effect", () => {
+    it("keeps the shard, and the rows are written again", async () => {
+      const { clock, store, acquire } = setUp();
+      const lease = await acquire("a");
+      // The model loses the answer of an effective commit.
+      store.lostShare = 2;
+      const lost = await settle(
+        clock,
+        lease!.commit([{ ...row, value: "1" }], []),
+      );
+      assert.equal(lost.err && lost.val.kind, "unknown");
+      store.lostShare = 0;
+      const again = await settle(
+        clock,
+        lease!.commit([{ ...row, value: "2" }], []),
+      );
+      assert.equal(again.err && again.val.kind, "refused");
+      const third = await settle(
+        clock,
+        lease!.commit([{ ...row, value: "2" }], []),
+      );
+      assert.ok(third.ok);
+      assert.equal(store.table("t")[0].value, "2");
+    });
+  });
+
+  describe("when a process was suspended", () => {
+    it("sees its age by the wall clock", async () => {
+      const { clock, acquire } = setUp();
+      const lease = await acquire("a");
+      await clock.advance(3_000);
+      assert.ok(lease!.ageMs >= 3_000);
+    });
+  });
+});
+
+function member(entry: string, shards: readonly string[]): Member {
+  return {
+    entry,
+    boot: `${entry}#1`,
+    zone: "z",
+    shards: [...shards],
+    accepting: true,
+  };
+}
+
+function memberRow(entry: string, version: number) {
+  const value = JSON.stringify(member(entry, []));
+  return { table: "members", partition: "", key: entry, value, version };
+}
+
+describe("the view of the members", () => {
+  it("drops one whose row stands still for a lease", () => {
+    const seen = MemberView.empty.observe([memberRow("a", 1)], 0)
+      .observe([memberRow("a", 1)], 1_000)
+      .observe([memberRow("a", 1)], memberLeaseMs);
+    assert.deepEqual(seen.live(memberLeaseMs), []);
+  });
+
+  it("waits longer while the store is slow", () => {
+    const seen = MemberView.empty.observe([memberRow("a", 1)], 0);
+    assert.equal(seen.live(memberLeaseMs + 500, 400).length, 1);
+  });
+
+  it("counts nobody dead after a gap in its own reads", () => {
+    const seen = MemberView.empty.observe([memberRow("a", 1)], 0)
+      .observe([memberRow("a", 1)], 5_000);
+    assert.equal(seen.live(5_000).length, 1);
+  });
+});
+
+describe("the assignment of shards", () => {
+  it("leaves held shards and spreads the others by load", () => {
+    const members = [member("a", ["s1"]), member("b", [])];
+    assert.deepEqual([...assignShards(["s1", "s2"], members)], [["s2", "b"]]);
+  });
+
+  it("releases one only for a member with at least two fewer", () => {
+    const one = [member("a", ["s1"]), member("b", [])];
+    const two = [member("a", ["s1", "s2"]), member("b", [])];
+    assert.equal(shardToRelease("a", one), undefined);
+    assert.notEqual(shardToRelease("a", two), undefined);
+  });
+});
--- a/test/fuzz/fake_endpoints.ts
+++ b/test/fuzz/fake_endpoints.ts
@@ -9,7 +9,7 @@
 import { codes, fail, type Failure } from "../../src/errors/index.ts";
 import type { Host } from "../../src/hosts/index.ts";
 import type { EndpointRequest, Outcome } from "../../src/pipeline/index.ts";
-import type { ProcessClock, VirtualClock } from "./virtual_clock.ts";
+import type { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
 
 const hopMs = 1;
 const rebootMs = 300;
--- a/test/fuzz/fake_network.ts
+++ b/test/fuzz/fake_network.ts
@@ -7,7 +7,7 @@
   Message,
   PeerNetwork,
 } from "../../src/peers/index.ts";
-import type { ProcessClock, VirtualClock } from "./virtual_clock.ts";
+import type { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
 
 const hopMs = 1;
 const heartbeatMs = 100;
--- a/test/fuzz/world.ts
+++ b/test/fuzz/world.ts
@@ -12,7 +12,7 @@
 import { FakeEndpoints } from "./fake_endpoints.ts";
 import { FakeNetwork } from "./fake_network.ts";
 import { type CallerFact, Oracle } from "./oracle.ts";
-import { ProcessClock, VirtualClock } from "./virtual_clock.ts";
+import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
 
 const hopMs = 1;
 const lostAnswerMs = 50;
--- a/test/pipeline/scheduler_test.ts
+++ b/test/pipeline/scheduler_test.ts
@@ -8,7 +8,7 @@
   type Ticket,
 } from "../../src/pipeline/index.ts";
 import type { ClassRow } from "../../src/table/index.ts";
-import { VirtualClock } from "../fuzz/virtual_clock.ts";
+import { VirtualClock } from "../../sim/virtual_clock.ts";
 
 function classRow(name: string, change: Partial<ClassRow> = {}): ClassRow {
   return {
--- /dev/null
+++ b/test/platform/front_server_test.ts
@@ -0,0 +1,164 @@
+/** The platform's wire: decoded bodies, and callers over HTTP. */
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { after, before, describe, it } from "node:test";
+import { request } from "undici";
+import { decodeCatalog, decodeRegistration } from "../../platform/decode.ts";
+import { FrontServer } from "../../platform/front_server.ts";
+import { ModelStore } from "../../sim/model_store.ts";
+import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
+import { CatalogHolder } from "../../src/catalog/index.ts";
+import { systemClock } from "../../src/clock/index.ts";
+import { Intake } from "../../src/intake/index.ts";
+import { parseBatchSettings } from "../../src/settings/index.ts";
+
+const config = JSON.stringify({
+  version: 4,
+  routes: [{
+    name: "r-1",
+    host: "jobs.example",
+    pathPrefix: "/q/",
+    backend: "pool-1",
+    maxAttempts: 2,
+    sloMs: 600,
+    stretch: 2,
+  }],
+  services: [{ name: "pool-1" }, { name: "rest", standby: true }],
+  limits: { maxBodyBytes: 1_000 },
+});
+
+const job = "00000000000000aa";
+
+describe("decoding", () => {
+  it("reads the operator's table, and not another writer's bytes", () => {
+    assert.equal(decodeCatalog(config)?.queues[0].pool, "pool-1");
+    assert.equal(decodeCatalog(config)?.pools[1].standby, true);
+    assert.equal(decodeCatalog("[1"), undefined);
+    assert.equal(decodeCatalog('{"version":"x"}'), undefined);
+  });
+
+  it("takes no endpoint from a registration with fields amiss", () => {
+    const good = {
+      backend: "p",
+      addr: "127.0.0.1:1",
+      state: "ready",
+      born: 5,
+      capacity: { cpu: 1 },
+    };
+    assert.equal(decodeRegistration("i", JSON.stringify(good))?.life, 5);
+    for (const wrong of [{ state: "odd" }, { addr: 7 }, { capacity: 1 }]) {
+      const text = JSON.stringify({ ...good, ...wrong });
+      assert.equal(decodeRegistration("i", text), undefined);
+    }
+  });
+});
+
+describe("the settings template", () => {
+  it("gives settings that the schema takes", () => {
+    const values: Readonly<Record<string, string>> = {
+      "node|json": '"front-1"',
+      "zone|json": '"z"',
+      "listen.front|json": '"127.0.0.1:1"',
+      "listen.ready|json": '"127.0.0.1:2"',
+      "platform.addr|json": '"127.0.0.1:3"',
+      "cloud.addr|json": '"127.0.0.1:4"',
+      "bounds.leaseMs": "3000",
+      "hint": "",
+    };
+    const text = readFileSync("deploy/settings.toml.tmpl", "utf8")
+      .replace(/\{\{([^}]*)\}\}/g, (_, name: string) => values[name] ?? "?");
+    const settings = parseBatchSettings(text);
+    assert.ok(settings.ok, JSON.stringify(settings.val));
+  });
+});
+
+describe("callers over HTTP", () => {
+  const virtual = new VirtualClock();
+  const model = new ModelStore(virtual, () => 1);
+  const process = new ProcessClock(virtual);
+  const catalog = new CatalogHolder();
+  const intake = new Intake(model.connect("e", process), systemClock);
+  const front = new FrontServer({
+    intake,
+    catalog,
+    clock: systemClock,
+    log: { decision() {} },
+    isLeaving: () => false,
+  });
+  let running = true;
+
+  before(async () => {
+    await front.listen("127.0.0.1", 0);
+    const turn = async () => {
+      await virtual.advance(5);
+      if (running) setImmediate(turn);
+    };
+    turn();
+  });
+  after(() => {
+    running = false;
+    front.close();
+  });
+
+  async function call(
+    method: "GET" | "POST" | "DELETE",
+    path: string,
+    body = "",
+  ) {
+    const res = await request(`http://127.0.0.1:${front.port}${path}`, {
+      method,
+      headers: { host: "jobs.example" },
+      ...(body !== "" && { body }),
+    });
+    return { status: res.statusCode, text: await res.body.text() };
+  }
+
+  const body = JSON.stringify({ spec: "x", phases: [{ count: 1, cpu: 1 }] });
+
+  describe("before the table is known", () => {
+    it("refuses with a time to come back", async () => {
+      assert.equal((await call("POST", `/q/${job}`, body)).status, 503);
+    });
+  });
+
+  describe("once it is", () => {
+    before(() => {
+      const decoded = decodeCatalog(config);
+      if (decoded !== undefined) catalog.accept(decoded);
+    });
+
+    it("stores a job once, however often it is sent", async () => {
+      assert.equal((await call("POST", `/q/${job}`, body)).status, 200);
+      assert.equal((await call("POST", `/q/${job}`, body)).status, 200);
+      assert.equal(model.table("inbox-pool-1").length, 1);
+    });
+
+    it("tells a job's state and that there is none", async () => {
+      const known = await call("GET", `/q/${job}`);
+      assert.deepEqual(JSON.parse(known.text), { state: "queued" });
+      assert.equal((await call("GET", "/q/00000000000000bb")).status, 410);
+    });
+
+    it("cancels, and counts what waits", async () => {
+      assert.equal((await call("DELETE", `/q/${job}`)).status, 200);
+      assert.equal((await call("DELETE", "/q/00000000000000bb")).status, 410);
+      const waiting = await call("GET", "/q/");
+      assert.deepEqual(JSON.parse(waiting.text), { pending: 0 });
+    });
+
+    it("answers for what does not exist or is malformed", async () => {
+      assert.equal((await call("GET", "/other/")).status, 404);
+      assert.equal(
+        (await call("POST", "/q/00000000000000cc", "{")).status,
+        400,
+      );
+    });
+
+    it("says unknown, never refused, when a job may be stored", async () => {
+      model.setMood("e", "silent");
+      const res = await call("POST", "/q/00000000000000dd", body);
+      model.setMood("e", "serves");
+      assert.equal(res.status, 504);
+    });
+  });
+});
--- /dev/null
+++ b/test/scheduler/endpoint_session_test.ts
@@ -0,0 +1,122 @@
+/** What an owner concludes from an endpoint's lists. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { plainStep } from "../../sim/jobs.ts";
+import type { EndpointLists } from "../../src/endpoint/index.ts";
+import { EndpointSession, type Run } from "../../src/scheduler/index.ts";
+
+function newSession(): EndpointSession {
+  return new EndpointSession({
+    id: "e",
+    address: "e",
+    pool: "p",
+    zone: "z",
+    life: 7,
+    capacity: { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 },
+    labels: [],
+    draining: false,
+    host: "h",
+  }, 0);
+}
+
+function run(phase: Run["phase"], changes: Partial<Run> = {}): Run {
+  return {
+    name: "job.0.0.0",
+    job: "job",
+    ref: { occurrence: 0, step: 0, index: 0 },
+    run: 2,
+    step: plainStep(1, []),
+    payload: "",
+    phase,
+    changedAt: 100,
+    startedAt: 100,
+    stoppedAt: undefined,
+    percent: 0,
+    progressedAt: 100,
+    load: undefined,
+    pace: 100,
+    checkpoint: "",
+    ...changes,
+  };
+}
+
+const empty: EndpointLists = { clockMs: 0, life: 7, running: [], ended: [] };
+const listed = {
+  task: "job.0.0.0",
+  run: 2,
+  checkpoint: "c",
+  percent: 40,
+  load: undefined,
+};
+
+describe("an endpoint's lists", () => {
+  describe("when a start had no answer", () => {
+    it("adopts a run that is listed", () => {
+      const session = newSession();
+      const doubtful = run("doubtful");
+      session.add(doubtful);
+      const found = session.compare({ ...empty, running: [listed] }, 200, 210);
+      assert.deepEqual(found.confirmed, [doubtful]);
+      assert.equal(doubtful.phase, "running");
+    });
+
+    it("settles one that is not listed by a stop, not by waiting", () => {
+      const session = newSession();
+      const doubtful = run("doubtful");
+      session.add(doubtful);
+      assert.deepEqual(session.compare(empty, 200, 210).unsettled, [doubtful]);
+    });
+
+    it("concludes nothing from lists that were asked for before", () => {
+      const session = newSession();
+      session.add(run("running", { changedAt: 300 }));
+      const found = session.compare(empty, 200, 310);
+      assert.deepEqual(found.unsettled, []);
+      assert.deepEqual(found.absent, []);
+    });
+  });
+
+  describe("after a stop was confirmed", () => {
+    it("counts a run that is not listed as absent", () => {
+      const session = newSession();
+      const stopped = run("stopping", { stoppedAt: 150 });
+      session.add(stopped);
+      assert.deepEqual(session.compare(empty, 200, 210).absent, [stopped]);
+    });
+  });
+
+  describe("with runs that nobody asked for", () => {
+    it("names an older run of a known task", () => {
+      const session = newSession();
+      session.add(run("running", { run: 3 }));
+      const found = session.compare({ ...empty, running: [listed] }, 50, 60);
+      assert.deepEqual(found.foreign, [listed]);
+    });
+  });
+
+  describe("with ends", () => {
+    it("takes each end once", () => {
+      const session = newSession();
+      const end = {
+        seq: 4,
+        task: "job.0.0.0",
+        run: 2,
+        end: "done",
+        checkpoint: "",
+      } as const;
+      const lists = { ...empty, ended: [end] };
+      assert.equal(session.compare(lists, 200, 210).ended.length, 1);
+      assert.equal(session.compare(lists, 220, 230).ended.length, 0);
+    });
+  });
+});
+
+describe("the lease of an endpoint", () => {
+  it("is bounded by its clock's drift", () => {
+    const session = newSession();
+    session.readClock(10_000, 1_000);
+    assert.equal(session.askLease(1_500), 15_500);
+    // 5,500 ms of a clock that is 2% slow, and the delivery of the answer.
+    assert.equal(session.leaseEndsBy, 1_000 + 5_610 + 100);
+  });
+});
--- /dev/null
+++ b/test/scheduler/host_offers_test.ts
@@ -0,0 +1,60 @@
+/** Offers of empty endpoints to other pools, across owners. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { HostOffers } from "../../src/scheduler/host_offers.ts";
+import { EndpointSession } from "../../src/scheduler/index.ts";
+
+function session(id: string): EndpointSession {
+  const created = new EndpointSession({
+    id,
+    address: id,
+    pool: "p",
+    zone: "z",
+    life: 1,
+    capacity: { cpuMillis: 1_000, memoryMb: 1_000, gpus: 0 },
+    labels: [],
+    draining: false,
+    host: id,
+  }, 0);
+  created.fenced = true;
+  created.readClock(0, 0);
+  return created;
+}
+
+const sessions = ["a", "b", "c"].map(session);
+
+describe("offers of empty endpoints", () => {
+  describe("when the pool needs fewer", () => {
+    it("offers the rest and keeps work from it", () => {
+      const offers = new HostOffers();
+      offers.adjust(sessions, 2);
+      assert.equal(offers.offered.length, 1);
+      assert.equal(offers.isClosed(offers.offered[0], 0), true);
+    });
+  });
+
+  describe("when a surge begins while endpoints are offered", () => {
+    it("uses them only some time after the store has the withdrawal", () => {
+      const offers = new HostOffers();
+      offers.adjust(sessions, 2);
+      const [id] = offers.offered;
+      offers.adjust(sessions, 3);
+      assert.deepEqual(offers.offered, []);
+      assert.equal(offers.isClosed(id, 10_000), true);
+      offers.stored(10_000);
+      assert.equal(offers.isClosed(id, 10_100), true);
+      assert.equal(offers.isClosed(id, 10_600), false);
+      assert.equal(offers.isUnsettled(id, 10_600), true);
+    });
+  });
+
+  describe("when an earlier owner has left offers", () => {
+    it("keeps work from them until they are withdrawn", () => {
+      const offers = new HostOffers();
+      offers.inherit(["a"]);
+      assert.equal(offers.isClosed("a", 1_000), true);
+      offers.stored(1_000);
+      assert.equal(offers.isClosed("a", 1_600), false);
+    });
+  });
+});
--- /dev/null
+++ b/test/sim/run_model.ts
@@ -0,0 +1,34 @@
+/** Runs a sequence of actions in the model and returns what broke. */
+import { type Action, Play } from "../../sim/actions.ts";
+import { World } from "../../sim/world.ts";
+
+/** Time in which the entries find one another, in ms. */
+const settleMs = 3_000;
+
+/**
+ * Time for all work to end once the disturbances are over, in ms: the longest
+ * lease of an earlier owner, and then the work itself.
+ */
+const finishMs = 40_000;
+
+/** A finished run. */
+export interface ModelRun {
+  readonly violations: readonly string[];
+  readonly world: World;
+}
+
+/** Plays the actions, ends all disturbances, and judges. */
+export async function runModel(
+  seed: number,
+  actions: readonly Action[],
+): Promise<ModelRun> {
+  const world = new World({ seed, entries: 3, hostsPerPool: 4 });
+  const play = new Play(world);
+  await world.pass(settleMs);
+  for (const action of actions) await play.act(action);
+  world.heal();
+  await world.pass(finishMs);
+  const violations = await world.finish();
+  for (const entry of world.entries.values()) entry.process.kill();
+  return { violations, world };
+}
--- /dev/null
+++ b/test/upkeep/pool_sizes_test.ts
@@ -0,0 +1,87 @@
+/** Moves of hosts between pools under surges by turns. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import {
+  type ListedHost,
+  planSizes,
+  type PoolDemand,
+} from "../../src/upkeep/index.ts";
+
+const pools = [
+  { name: "quotes", standby: false },
+  { name: "invoices", standby: false },
+  { name: "spare", standby: true },
+];
+
+function host(name: string, pool: string, changes = {}): ListedHost {
+  const endpoint = pool === "spare" ? "" : `on-${name}`;
+  return { host: name, pool, state: "up", zone: "z", endpoint, ...changes };
+}
+
+function plan(
+  hosts: readonly ListedHost[],
+  demands: Readonly<Record<string, PoolDemand>>,
+  offeredMs = 0,
+) {
+  return planSizes({
+    pools,
+    hosts,
+    demands: new Map(Object.entries(demands)),
+    vacating: new Set(),
+    offeredFor: () => offeredMs,
+  }).map(({ host, to }) => `${host}>${to}`);
+}
+
+const idle = { want: 0, offered: [] };
+
+describe("moves between pools", () => {
+  describe("when a surge begins", () => {
+    it("takes hosts out of standby, by turns of the pools that lack", () => {
+      const hosts = ["a", "b", "c"].map((n) => host(n, "spare"));
+      const moves = plan(hosts, {
+        quotes: { want: 2, offered: [] },
+        invoices: { want: 1, offered: [] },
+      });
+      assert.deepEqual(moves, ["a>quotes", "b>invoices", "c>quotes"]);
+    });
+
+    it("takes what another pool offers without the way over standby", () => {
+      const moves = plan([host("a", "quotes"), host("b", "quotes")], {
+        quotes: { want: 1, offered: ["on-b"] },
+        invoices: { want: 1, offered: [] },
+      });
+      assert.deepEqual(moves, ["b>invoices"]);
+    });
+
+    it("counts hosts that are on their way", () => {
+      const hosts = [
+        host("a", "quotes", { state: "moving" }),
+        host("b", "spare"),
+      ];
+      const quotes = { want: 1, offered: [] };
+      assert.deepEqual(plan(hosts, { quotes, invoices: idle }), []);
+    });
+  });
+
+  describe("when a surge has passed", () => {
+    const hosts = [host("a", "quotes"), host("b", "quotes")];
+    const demands = {
+      quotes: { want: 1, offered: ["on-b"] },
+      invoices: idle,
+    };
+
+    it("keeps an offered host for a while", () => {
+      assert.deepEqual(plan(hosts, demands, 500), []);
+    });
+
+    it("then puts it into standby", () => {
+      assert.deepEqual(plan(hosts, demands, 2_500), ["b>spare"]);
+    });
+  });
+
+  describe("when a pool's demand is not known", () => {
+    it("leaves the pool alone", () => {
+      assert.deepEqual(plan([host("a", "spare")], {}), []);
+    });
+  });
+});
