Serve counters and latency histograms; split the endpoint driver and the demand

Refactoring: the driver of a shard's endpoints had grown to 572 lines; orders about single runs, and the report of the demand, stand in modules of their own.

--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -74,13 +74,13 @@
       if (run.phase !== "running") continue;
       const job = this.parts.book.jobs.get(run.job);
       if (job === undefined || isFinal(job.progress.phase)) {
-        this.parts.driver.stopRun(session, run, "job is final");
+        this.parts.driver.runs.stop(session, run, "job is final");
         continue;
       }
       if (!isStalled(run, now)) continue;
       this.parts.book.noteFailure(job, run.ref, session.endpoint.id);
       session.suspicion = afterFailure(session.suspicion, run.job, now);
-      this.parts.driver.stopRun(session, run, "no progress");
+      this.parts.driver.runs.stop(session, run, "no progress");
     }
   }
 
@@ -89,7 +89,7 @@
       if (run.phase !== "running" || !run.step.longRunning) continue;
       const job = this.parts.book.jobs.get(run.job);
       if (job === undefined || !this.#mayInterrupt(job, run)) continue;
-      this.parts.driver.stopRun(session, run, "endpoint leaves");
+      this.parts.driver.runs.stop(session, run, "endpoint leaves");
     }
   }
 
--- /dev/null
+++ b/src/scheduler/driver_parts.ts
@@ -0,0 +1,110 @@
+/** What the drivers of a shard's endpoints work with, and whom they tell. */
+import type { RunEnd, TaskRef } from "../batch/index.ts";
+import type { Clock } from "../clock/index.ts";
+import { memberLeaseMs, type ShardLease } from "../cluster/index.ts";
+import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import {
+  clockDrift,
+  deliveryMs,
+  type EndpointSession,
+  type Run,
+  type RunPhase,
+  taskLeaseMs,
+} from "./endpoint_session.ts";
+
+/**
+ * How long an owner that can't renew its own lease goes on holding those of
+ * its tasks, in ms.
+ */
+export const holdWithoutStoreMs = 4_500;
+
+/** What is known of the owner before this one. */
+export type PreviousOwner =
+  /** It has released the shard, or its process has ended. */
+  | "ended"
+  /** It fell silent, and may go on without the store for a while. */
+  | "silent";
+
+/** Longest time that a lease of the owner before may still last, in ms. */
+export function longestLease(previous: PreviousOwner): number {
+  const lease = taskLeaseMs * (1 + clockDrift) + deliveryMs;
+  if (previous === "ended") return lease;
+  return lease + holdWithoutStoreMs - memberLeaseMs;
+}
+
+/** What all drivers work with. */
+export interface DriverParts {
+  readonly shard: string;
+  readonly lease: ShardLease;
+  readonly previous: PreviousOwner;
+  readonly orders: TaskOrders;
+  readonly registry: EndpointRegistry;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  /** A run of this shard has ended. */
+  ended(run: Run, end: RunEnd, checkpoint: string): void;
+  /** An endpoint lists the end of a run that is not its present one. */
+  endedElsewhere(
+    job: string,
+    ref: TaskRef,
+    run: number,
+    end: RunEnd,
+    checkpoint: string,
+  ): void;
+  /** Ids of endpoints whose host was taken down. */
+  endedLives(): ReadonlySet<string>;
+  /** Whether an intended run should still start. */
+  mayStart(run: Run): boolean;
+  /** A run was confirmed by its endpoint. */
+  begun(run: Run): void;
+  /** Calls back once all changes so far are committed. */
+  afterCommit(action: () => void): void;
+  /** Room or endpoints have changed. */
+  changed(): void;
+  /** An endpoint has seen a higher fencing token. */
+  fenced(): void;
+}
+
+/** What one driver asks of the others. */
+export interface SessionControl {
+  /** Whether no further order may be sent. */
+  readonly isStopped: boolean;
+  /** Ends a run and frees its room. */
+  finish(
+    session: EndpointSession,
+    run: Run,
+    end: RunEnd,
+    reason: string,
+    checkpoint?: string,
+  ): void;
+  /** Ends a session; what ran in that life is lost. */
+  close(session: EndpointSession, reason: string): void;
+  /** Looks at an endpoint again at once. */
+  wake(session: EndpointSession): void;
+}
+
+/** Notes a run's phase and since when it is in it. */
+export function setPhase(run: Run, phase: RunPhase, now: number): void {
+  run.phase = phase;
+  run.changedAt = now;
+}
+
+/** Tells a decision about a run. */
+export function logRun(
+  { log, shard, lease }: DriverParts,
+  event: string,
+  session: EndpointSession,
+  run: Run,
+  reason: string,
+): void {
+  log.decision(event, {
+    shard,
+    term: lease.term,
+    job: run.job,
+    task: run.name,
+    run: run.run,
+    endpoint: session.endpoint.id,
+    reason,
+  });
+}
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -1,6 +1,6 @@
 /**
- * Sends a shard's orders to its endpoints and turns their lists into ends of
- * runs. One loop an endpoint holds its leases while anything may run there.
+ * Keeps a session for each endpoint of a shard, holds its leases while
+ * anything may run there, and turns its lists into ends of runs.
  */
 import {
   type JobSpec,
@@ -10,27 +10,27 @@
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
-import { type Clock, delay } from "../clock/index.ts";
-import { memberLeaseMs, type ShardLease } from "../cluster/index.ts";
+import { delay } from "../clock/index.ts";
 import type {
+  EndedTask,
   EndpointLists,
-  EndpointRegistry,
   HoldOutcome,
-  Rejection,
   TaskEndpoint,
-  TaskOrders,
 } from "../endpoint/index.ts";
-import type { DecisionLog } from "./decision_log.ts";
 import {
-  clockDrift,
-  deliveryMs,
+  type DriverParts,
+  holdWithoutStoreMs,
+  logRun,
+  longestLease,
+  type SessionControl,
+} from "./driver_parts.ts";
+import {
   EndpointSession,
   type Run,
   type RunPhase,
-  taskLeaseMs,
 } from "./endpoint_session.ts";
 import { OrphanRuns } from "./orphan_runs.ts";
-import { paceRuns } from "./pace.ts";
+import { RunOrders } from "./run_orders.ts";
 import { afterFailure, afterSuccess } from "./suspicion.ts";
 
 /** How long a hold waits for an end, in ms. */
@@ -39,87 +39,31 @@
 /** Time after which an endpoint without runs is looked at again, in ms. */
 const idleHoldMs = 10_000;
 
-/** Pause after a hold or a stop without an answer, in ms. */
+/** Pause after a hold without an answer, in ms. */
 const retryMs = 250;
 
-/**
- * How long an owner that can't renew its own lease goes on holding those of
- * its tasks, in ms.
- */
-const holdWithoutStoreMs = 4_500;
-
-/** Age of the owner's last commit from which it starts nothing, in ms. */
-const startFreshnessMs = 2_000;
-
-/** Time for which an endpoint that had no room gets no task, in ms. */
-const noRoomMs = 150;
-
-/** Time for which an endpoint that could not be reached gets no task, in ms. */
-const unreachableMs = 1_000;
-
-/** What is known of the owner before this one. */
-export type PreviousOwner =
-  /** It has released the shard, or its process has ended. */
-  | "ended"
-  /** It fell silent, and may go on without the store for a while. */
-  | "silent";
-
-/** Longest time that a lease of the owner before may still last, in ms. */
-function longestLease(previous: PreviousOwner): number {
-  const lease = taskLeaseMs * (1 + clockDrift) + deliveryMs;
-  if (previous === "ended") return lease;
-  return lease + holdWithoutStoreMs - memberLeaseMs;
-}
-
-/** What the driver works with, and whom it tells. */
-export interface DriverParts {
-  readonly shard: string;
-  readonly lease: ShardLease;
-  readonly previous: PreviousOwner;
-  readonly orders: TaskOrders;
-  readonly registry: EndpointRegistry;
-  readonly clock: Clock;
-  readonly log: DecisionLog;
-  /** A run of this shard has ended. */
-  ended(run: Run, end: RunEnd, checkpoint: string): void;
-  /** An endpoint lists the end of a run that is not its present one. */
-  endedElsewhere(
-    job: string,
-    ref: TaskRef,
-    run: number,
-    end: RunEnd,
-    checkpoint: string,
-  ): void;
-  /** Ids of endpoints whose host was taken down. */
-  endedLives(): ReadonlySet<string>;
-  /** Whether an intended run should still start. */
-  mayStart(run: Run): boolean;
-  /** A run was confirmed by its endpoint. */
-  begun(run: Run): void;
-  /** Calls back once all changes so far are committed. */
-  afterCommit(action: () => void): void;
-  /** Room or endpoints have changed. */
-  changed(): void;
-  /** An endpoint has seen a higher fencing token. */
-  fenced(): void;
-}
-
 /** Stands for the life of an endpoint that has ended. */
 const noLife = -1;
 
 /** Drives the endpoints of one shard. */
-export class EndpointDriver {
+export class EndpointDriver implements SessionControl {
+  readonly runs: RunOrders;
   readonly #sessions = new Map<string, EndpointSession>();
   readonly #wakes = new Map<EndpointSession, () => void>();
   readonly #orphans: OrphanRuns;
   #stopped = false;
 
   constructor(private readonly parts: DriverParts) {
+    this.runs = new RunOrders(parts, this);
     this.#orphans = new OrphanRuns(
       parts.clock.now() + longestLease(parts.previous),
     );
   }
 
+  get isStopped(): boolean {
+    return this.#stopped;
+  }
+
   /** Sessions of the endpoints that are known. */
   sessions(): readonly EndpointSession[] {
     return [...this.#sessions.values()];
@@ -151,7 +95,7 @@
     for (const session of this.sessions()) {
       if (ids.has(session.endpoint.id)) continue;
       session.endpoint = { ...session.endpoint, draining: true };
-      if (session.runs.size === 0) this.#close(session, "not registered");
+      if (session.runs.size === 0) this.close(session, "not registered");
     }
     const lives = (id: string) =>
       ended.has(id) ? noLife : registry.get(id)?.life;
@@ -162,28 +106,10 @@
     }
   }
 
-  #meet(endpoint: TaskEndpoint): void {
-    const known = this.#sessions.get(endpoint.id);
-    if (known?.endpoint.life === endpoint.life) {
-      known.endpoint = endpoint;
-      return;
-    }
-    if (known !== undefined) this.#close(known, "another life");
-    const adopted = this.#orphans.take(endpoint.id, endpoint.life);
-    const bound = adopted.length > 0 ? this.#orphans.leaseEndsBy : -Infinity;
-    const session = new EndpointSession(endpoint, bound);
-    this.#sessions.set(endpoint.id, session);
-    for (const orphan of adopted) {
-      const { spec, ref, placement } = orphan;
-      session.add(this.#newRun(spec, ref, placement.run, "doubtful", ""));
-    }
-    this.#holdLoop(session);
-  }
-
   /** Ends the life of an endpoint whose host was taken down. */
   endLife(id: string, reason: string): void {
     const session = this.#sessions.get(id);
-    if (session !== undefined) this.#close(session, reason);
+    if (session !== undefined) this.close(session, reason);
   }
 
   /** Adds a run whose intent is being committed. */
@@ -199,6 +125,71 @@
     return added;
   }
 
+  /** Stops every run of a job. */
+  stopJob(job: string): void {
+    for (const session of this.sessions()) {
+      for (const run of session.runs.values()) {
+        if (run.job === job) this.runs.stop(session, run, "job is final");
+      }
+    }
+  }
+
+  /** After a task is done, stops its other runs. */
+  stopOtherRuns(name: string, number: number): void {
+    for (const session of this.sessions()) {
+      const run = session.runs.get(name);
+      if (run === undefined || run.run === number) continue;
+      this.runs.stop(session, run, "done elsewhere");
+    }
+  }
+
+  finish(
+    session: EndpointSession,
+    run: Run,
+    end: RunEnd,
+    reason: string,
+    checkpoint = "",
+  ): void {
+    session.remove(run);
+    if (end !== "done") {
+      logRun(this.parts, "run-over", session, run, `${end}: ${reason}`);
+    }
+    this.parts.ended(run, end, checkpoint);
+  }
+
+  close(session: EndpointSession, reason: string): void {
+    if (session.closed) return;
+    session.closed = true;
+    for (const run of [...session.runs.values()]) {
+      this.finish(session, run, "lost", reason);
+    }
+    const { id } = session.endpoint;
+    if (this.#sessions.get(id) === session) this.#sessions.delete(id);
+    this.wake(session);
+  }
+
+  wake(session: EndpointSession): void {
+    this.#wakes.get(session)?.();
+  }
+
+  #meet(endpoint: TaskEndpoint): void {
+    const known = this.#sessions.get(endpoint.id);
+    if (known?.endpoint.life === endpoint.life) {
+      known.endpoint = endpoint;
+      return;
+    }
+    if (known !== undefined) this.close(known, "another life");
+    const adopted = this.#orphans.take(endpoint.id, endpoint.life);
+    const bound = adopted.length > 0 ? this.#orphans.leaseEndsBy : -Infinity;
+    const session = new EndpointSession(endpoint, bound);
+    this.#sessions.set(endpoint.id, session);
+    for (const orphan of adopted) {
+      const { spec, ref, placement } = orphan;
+      session.add(this.#newRun(spec, ref, placement.run, "doubtful", ""));
+    }
+    this.#holdLoop(session);
+  }
+
   #newRun(
     spec: JobSpec,
     ref: TaskRef,
@@ -226,112 +217,6 @@
     };
   }
 
-  /** Sends the start of a run whose intent is committed. */
-  async start(session: EndpointSession, run: Run): Promise<void> {
-    const { lease, clock, orders } = this.parts;
-    if (this.#stopped || run.phase !== "intended") return;
-    const leaseUntil = session.askLease(clock.now());
-    const fresh = lease.ageMs < startFreshnessMs;
-    const wanted = this.parts.mayStart(run);
-    if (!fresh || !wanted || session.closed || leaseUntil === undefined) {
-      this.#finish(session, run, "not-started", fresh ? "unwanted" : "stale");
-      return;
-    }
-    this.#setPhase(run, "starting");
-    const outcome = await orders.start(session.endpoint, {
-      term: lease.term,
-      task: run.name,
-      run: run.run,
-      payload: run.payload,
-      leaseUntil,
-      checkpoint: run.checkpoint,
-    });
-    if (this.#stopped || session.runs.get(run.name) !== run) return;
-    if (outcome.kind === "done") {
-      this.parts.begun(run);
-      this.#settleStart(run, "running");
-      if (!this.parts.mayStart(run)) this.stopRun(session, run, "unwanted");
-    } else if (outcome.kind === "rejected") {
-      this.#startRejected(session, run, outcome.reason);
-    } else {
-      this.#log("start-unknown", session, run, outcome.message);
-      this.#settleStart(run, "doubtful");
-    }
-    this.#wake(session);
-  }
-
-  /** Unless the run was listed or stopped while its start was on its way. */
-  #settleStart(run: Run, phase: RunPhase): void {
-    if (run.phase === "starting") this.#setPhase(run, phase);
-  }
-
-  #startRejected(session: EndpointSession, run: Run, reason: Rejection): void {
-    const now = this.parts.clock.now();
-    if (reason === "fenced") {
-      this.parts.fenced();
-      return;
-    }
-    if (reason === "no-room") session.fullUntil = now + noRoomMs;
-    if (reason === "unreachable") session.fullUntil = now + unreachableMs;
-    if (reason === "unhealthy") {
-      session.suspicion = afterFailure(session.suspicion, run.job, now);
-      session.fullUntil = now + noRoomMs;
-    }
-    this.#finish(session, run, "not-started", reason);
-    if (reason === "other-life") this.#close(session, reason);
-  }
-
-  /** Stops a run and settles it, however long that takes. */
-  async stopRun(
-    session: EndpointSession,
-    run: Run,
-    reason: string,
-  ): Promise<void> {
-    if (run.phase === "stopping" || run.phase === "intended") return;
-    this.#setPhase(run, "stopping");
-    this.#log("task-stopped", session, run, reason);
-    const { orders, lease, clock } = this.parts;
-    while (session.runs.get(run.name) === run && !session.closed) {
-      const outcome = await orders.stop(session.endpoint, {
-        term: lease.term,
-        task: run.name,
-        run: run.run,
-      });
-      if (this.#stopped) return;
-      if (outcome.kind === "done") {
-        run.stoppedAt = clock.now();
-        this.#wake(session);
-        return;
-      }
-      if (outcome.kind === "rejected") {
-        if (outcome.reason === "fenced") return this.parts.fenced();
-        if (outcome.reason === "other-life") {
-          return this.#close(session, outcome.reason);
-        }
-      }
-      await delay(clock, retryMs);
-    }
-  }
-
-  /** Stops every run of a job. */
-  stopJob(job: string): void {
-    for (const session of this.sessions()) {
-      for (const run of session.runs.values()) {
-        if (run.job === job) this.stopRun(session, run, "job is final");
-      }
-    }
-  }
-
-  /** After a task is done, stops its other runs. */
-  stopOtherRuns(name: string, number: number, end: RunEnd): void {
-    if (end !== "done") return;
-    for (const session of this.sessions()) {
-      const run = session.runs.get(name);
-      if (run === undefined || run.run === number) continue;
-      this.stopRun(session, run, "done elsewhere");
-    }
-  }
-
   async #holdLoop(session: EndpointSession): Promise<void> {
     while (!this.#stopped && !session.closed) {
       const pause = await this.#hold(session);
@@ -379,67 +264,71 @@
       leaseLeftMs: Math.round(session.leaseEndsBy - clock.now()),
     });
     if (reason === "fenced") this.parts.fenced();
-    else if (reason === "other-life") this.#close(session, reason);
-    else if (clock.now() > session.leaseEndsBy) {
-      // Nothing can run there any more; what comes back is met anew.
-      session.fenced = false;
-      for (const run of [...session.runs.values()]) {
-        if (run.phase !== "intended") {
-          this.#finish(session, run, "lost", "lease over");
-        }
-      }
-    }
+    else if (reason === "other-life") this.close(session, reason);
+    else if (clock.now() > session.leaseEndsBy) this.#leaseOver(session);
     return retryMs;
   }
 
+  /** Nothing can run there any more; what comes back is met anew. */
+  #leaseOver(session: EndpointSession): void {
+    session.fenced = false;
+    for (const run of [...session.runs.values()]) {
+      if (run.phase === "intended") continue;
+      this.finish(session, run, "lost", "lease over");
+    }
+  }
+
   async #takeLists(
     session: EndpointSession,
     lists: EndpointLists,
     sentAt: number,
   ): Promise<number> {
-    const { clock } = this.parts;
-    const now = clock.now();
+    const now = this.parts.clock.now();
     if (lists.life !== session.endpoint.life) {
-      this.#close(session, "another life");
+      this.close(session, "another life");
       return retryMs;
     }
     session.readClock(lists.clockMs, now);
     session.silent = false;
+    this.#settle(session, lists, sentAt, now);
+    this.runs.paceFillers(session);
+    if (!session.fenced) {
+      session.fenced = true;
+      this.parts.changed();
+    }
+    const lastSeq = lists.ended.at(-1)?.seq;
+    if (lastSeq !== undefined) await this.#recorded(session, lastSeq);
+    return session.runs.size > 0 || lastSeq !== undefined ? 0 : idleHoldMs;
+  }
+
+  #settle(
+    session: EndpointSession,
+    lists: EndpointLists,
+    sentAt: number,
+    now: number,
+  ): void {
     const findings = session.compare(lists, sentAt, now);
     for (const run of findings.confirmed) {
       this.parts.begun(run);
       // A run that an earlier owner started for a job that has since ended.
-      if (!this.parts.mayStart(run)) this.stopRun(session, run, "unwanted");
-    }
-    for (const { task, run, end, checkpoint } of findings.ended) {
-      this.#takeEnd(session, task, run, end, checkpoint);
+      if (!this.parts.mayStart(run)) {
+        this.runs.stop(session, run, "unwanted");
+      }
     }
+    for (const end of findings.ended) this.#takeEnd(session, end);
     for (const run of findings.absent) {
-      this.#finish(session, run, "not-started", "absent after a stop");
+      this.finish(session, run, "not-started", "absent after a stop");
     }
     for (const run of findings.unsettled) {
-      this.stopRun(session, run, "not listed");
+      this.runs.stop(session, run, "not listed");
     }
     for (const { task, run } of findings.foreign) {
-      this.#stopForeign(session, task, run);
+      this.runs.stopForeign(session, task, run);
     }
-    this.#paceFillers(session);
-    if (!session.fenced) {
-      session.fenced = true;
-      this.parts.changed();
-    }
-    const lastSeq = lists.ended.at(-1)?.seq;
-    if (lastSeq !== undefined) await this.#recorded(session, lastSeq);
-    return session.runs.size > 0 || lastSeq !== undefined ? 0 : idleHoldMs;
   }
 
-  #takeEnd(
-    session: EndpointSession,
-    task: string,
-    number: number,
-    end: RunEnd,
-    checkpoint: string,
-  ): void {
+  #takeEnd(session: EndpointSession, ended: EndedTask): void {
+    const { task, run: number, end, checkpoint } = ended;
     const run = session.find(task, number);
     const now = this.parts.clock.now();
     if (run !== undefined) {
@@ -447,7 +336,7 @@
       if (end === "failed") {
         session.suspicion = afterFailure(session.suspicion, run.job, now);
       }
-      this.#finish(session, run, end, "listed", checkpoint);
+      this.finish(session, run, end, "listed", checkpoint);
       return;
     }
     const parsed = parseTaskName(task);
@@ -468,74 +357,6 @@
     await Promise.race([committed, delay(this.parts.clock, holdWaitMs)]);
   }
 
-  #paceFillers(session: EndpointSession): void {
-    const { orders, lease } = this.parts;
-    for (const { run, percent } of paceRuns(session.runs.values())) {
-      if (run.phase !== "running") continue;
-      run.pace = percent;
-      this.#log("task-paced", session, run, `${percent}%`);
-      orders.pace(session.endpoint, {
-        term: lease.term,
-        task: run.name,
-        run: run.run,
-        percent,
-      }).then((outcome) => {
-        if (outcome.kind !== "done") run.pace = -1;
-      });
-    }
-  }
-
-  async #stopForeign(
-    session: EndpointSession,
-    task: string,
-    run: number,
-  ): Promise<void> {
-    const { orders, lease, log, shard } = this.parts;
-    const outcome = await orders.stop(session.endpoint, {
-      term: lease.term,
-      task,
-      run,
-    });
-    log.decision("foreign-run-stopped", {
-      shard,
-      task,
-      run,
-      endpoint: session.endpoint.id,
-      outcome: outcome.kind,
-    });
-  }
-
-  #finish(
-    session: EndpointSession,
-    run: Run,
-    end: RunEnd,
-    reason: string,
-    checkpoint = "",
-  ): void {
-    session.remove(run);
-    if (end !== "done") {
-      this.#log("run-over", session, run, `${end}: ${reason}`);
-    }
-    this.parts.ended(run, end, checkpoint);
-  }
-
-  /** Ends a session; what ran in that life is lost. */
-  #close(session: EndpointSession, reason: string): void {
-    if (session.closed) return;
-    session.closed = true;
-    for (const run of [...session.runs.values()]) {
-      this.#finish(session, run, "lost", reason);
-    }
-    const { id } = session.endpoint;
-    if (this.#sessions.get(id) === session) this.#sessions.delete(id);
-    this.#wake(session);
-  }
-
-  #setPhase(run: Run, phase: RunPhase): void {
-    run.phase = phase;
-    run.changedAt = this.parts.clock.now();
-  }
-
   #pause(session: EndpointSession, ms: number): Promise<void> {
     return new Promise((resolve) => {
       const done = () => {
@@ -547,26 +368,4 @@
       this.#wakes.set(session, done);
     });
   }
-
-  #wake(session: EndpointSession): void {
-    this.#wakes.get(session)?.();
-  }
-
-  #log(
-    event: string,
-    session: EndpointSession,
-    run: Run,
-    reason: string,
-  ): void {
-    const { log, shard, lease } = this.parts;
-    log.decision(event, {
-      shard,
-      term: lease.term,
-      job: run.job,
-      task: run.name,
-      run: run.run,
-      endpoint: session.endpoint.id,
-      reason,
-    });
-  }
 }
--- /dev/null
+++ b/src/scheduler/run_orders.ts
@@ -0,0 +1,164 @@
+/** Starts, stops and paces single runs, and settles what had no answer. */
+import { delay } from "../clock/index.ts";
+import type { Rejection } from "../endpoint/index.ts";
+import {
+  type DriverParts,
+  logRun,
+  type SessionControl,
+  setPhase,
+} from "./driver_parts.ts";
+import type { EndpointSession, Run, RunPhase } from "./endpoint_session.ts";
+import { paceRuns } from "./pace.ts";
+import { afterFailure } from "./suspicion.ts";
+
+/** Pause before a stop without an answer is sent again, in ms. */
+const stopRetryMs = 250;
+
+/** Age of the owner's last commit from which it starts nothing, in ms. */
+const startFreshnessMs = 2_000;
+
+/** Time for which an endpoint that had no room gets no task, in ms. */
+const noRoomMs = 150;
+
+/** Time for which an endpoint that could not be reached gets no task, in ms. */
+const unreachableMs = 1_000;
+
+/** Sends the orders about single runs. */
+export class RunOrders {
+  constructor(
+    private readonly parts: DriverParts,
+    private readonly control: SessionControl,
+  ) {}
+
+  /** Sends the start of a run whose intent is committed. */
+  async start(session: EndpointSession, run: Run): Promise<void> {
+    const { lease, clock, orders } = this.parts;
+    if (this.control.isStopped || run.phase !== "intended") return;
+    const leaseUntil = session.askLease(clock.now());
+    const fresh = lease.ageMs < startFreshnessMs;
+    const wanted = this.parts.mayStart(run);
+    if (!fresh || !wanted || session.closed || leaseUntil === undefined) {
+      const reason = fresh ? "unwanted" : "stale";
+      this.control.finish(session, run, "not-started", reason);
+      return;
+    }
+    this.#setPhase(run, "starting");
+    const outcome = await orders.start(session.endpoint, {
+      term: lease.term,
+      task: run.name,
+      run: run.run,
+      payload: run.payload,
+      leaseUntil,
+      checkpoint: run.checkpoint,
+    });
+    if (this.control.isStopped || session.runs.get(run.name) !== run) return;
+    if (outcome.kind === "done") {
+      this.parts.begun(run);
+      this.#settleStart(run, "running");
+      if (!this.parts.mayStart(run)) this.stop(session, run, "unwanted");
+    } else if (outcome.kind === "rejected") {
+      this.#startRejected(session, run, outcome.reason);
+    } else {
+      logRun(this.parts, "start-unknown", session, run, outcome.message);
+      this.#settleStart(run, "doubtful");
+    }
+    this.control.wake(session);
+  }
+
+  /** Stops a run and settles it, however long that takes. */
+  async stop(
+    session: EndpointSession,
+    run: Run,
+    reason: string,
+  ): Promise<void> {
+    if (run.phase === "stopping" || run.phase === "intended") return;
+    this.#setPhase(run, "stopping");
+    logRun(this.parts, "task-stopped", session, run, reason);
+    const { orders, lease, clock } = this.parts;
+    while (session.runs.get(run.name) === run && !session.closed) {
+      const outcome = await orders.stop(session.endpoint, {
+        term: lease.term,
+        task: run.name,
+        run: run.run,
+      });
+      if (this.control.isStopped) return;
+      if (outcome.kind === "done") {
+        run.stoppedAt = clock.now();
+        this.control.wake(session);
+        return;
+      }
+      if (outcome.kind === "rejected") {
+        if (outcome.reason === "fenced") return this.parts.fenced();
+        if (outcome.reason === "other-life") {
+          return this.control.close(session, outcome.reason);
+        }
+      }
+      await delay(clock, stopRetryMs);
+    }
+  }
+
+  /** Stops a run that nobody here asked for. */
+  async stopForeign(
+    session: EndpointSession,
+    task: string,
+    run: number,
+  ): Promise<void> {
+    const { orders, lease, log, shard } = this.parts;
+    const outcome = await orders.stop(session.endpoint, {
+      term: lease.term,
+      task,
+      run,
+    });
+    log.decision("foreign-run-stopped", {
+      shard,
+      task,
+      run,
+      endpoint: session.endpoint.id,
+      outcome: outcome.kind,
+    });
+  }
+
+  /** Adjusts the pace of fillers to the load of those beside them. */
+  paceFillers(session: EndpointSession): void {
+    const { orders, lease } = this.parts;
+    for (const { run, percent } of paceRuns(session.runs.values())) {
+      if (run.phase !== "running") continue;
+      run.pace = percent;
+      logRun(this.parts, "task-paced", session, run, `${percent}%`);
+      orders.pace(session.endpoint, {
+        term: lease.term,
+        task: run.name,
+        run: run.run,
+        percent,
+      }).then((outcome) => {
+        // A pace that is not known is set again.
+        if (outcome.kind !== "done") run.pace = -1;
+      });
+    }
+  }
+
+  /** Unless the run was listed or stopped while its start was on its way. */
+  #settleStart(run: Run, phase: RunPhase): void {
+    if (run.phase === "starting") this.#setPhase(run, phase);
+  }
+
+  #startRejected(session: EndpointSession, run: Run, reason: Rejection): void {
+    const now = this.parts.clock.now();
+    if (reason === "fenced") {
+      this.parts.fenced();
+      return;
+    }
+    if (reason === "no-room") session.fullUntil = now + noRoomMs;
+    if (reason === "unreachable") session.fullUntil = now + unreachableMs;
+    if (reason === "unhealthy") {
+      session.suspicion = afterFailure(session.suspicion, run.job, now);
+      session.fullUntil = now + noRoomMs;
+    }
+    this.control.finish(session, run, "not-started", reason);
+    if (reason === "other-life") this.control.close(session, reason);
+  }
+
+  #setPhase(run: Run, phase: RunPhase): void {
+    setPhase(run, phase, this.parts.clock.now());
+  }
+}
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -32,26 +32,20 @@
 import type { CommitFailure, ShardLease } from "../cluster/index.ts";
 import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
 import {
-  parseJson,
   partitionsOf,
   type Row,
   type RowChange,
   type Store,
   TableWatch,
 } from "../store/index.ts";
-import {
-  demandKey,
-  type PoolDemand,
-  poolDemandSchema,
-  type VacateState,
-} from "../upkeep/index.ts";
+import { demandKey, type VacateState } from "../upkeep/index.ts";
 import { Caretaker } from "./caretaker.ts";
 import { CommitQueue } from "./commit_queue.ts";
-import { ArrivalRate, hostsWanted } from "./demand.ts";
+import { DemandReporter } from "./demand_reporter.ts";
 import type { DecisionLog } from "./decision_log.ts";
-import { EndpointDriver, type PreviousOwner } from "./endpoint_driver.ts";
+import type { PreviousOwner } from "./driver_parts.ts";
+import { EndpointDriver } from "./endpoint_driver.ts";
 import type { Run } from "./endpoint_session.ts";
-import { HostOffers } from "./host_offers.ts";
 import { type BookedJob, JobBook } from "./job_book.ts";
 import { planStarts } from "./planner.ts";
 
@@ -73,12 +67,6 @@
 /** Least time between two writes of the waiting counts, in ms. */
 const countsPeriodMs = 700;
 
-/** Least time between two writes of the demand, in ms. */
-const demandPeriodMs = 180;
-
-/** Age up to which a job that is read counts as arriving, in ms. */
-const freshJobMs = 1_500;
-
 /** How long a final job can be asked for, in ms. */
 const keepFinalMs = 150_000;
 
@@ -114,11 +102,7 @@
   #lastPlanAt = -Infinity;
   #counts = "";
   #countsAt = -Infinity;
-  #demand = "";
-  #want = 0;
-  #demandAt = -Infinity;
-  readonly #arrivals = new ArrivalRate();
-  readonly #offers = new HostOffers();
+  readonly #demand: DemandReporter;
   #stopped = false;
 
   constructor(private readonly parts: ShardParts) {
@@ -133,6 +117,13 @@
           : { ...progressKey(shard, id), value };
       },
     }, (failure) => this.#commitFailed(failure));
+    this.#demand = new DemandReporter({
+      ...parts,
+      write: (row, stored) => {
+        this.commits.put(row);
+        this.commits.then(stored);
+      },
+    });
     this.driver = new EndpointDriver({
       ...parts,
       ended: (run, end, checkpoint) => this.#runEnded(run, end, checkpoint),
@@ -174,8 +165,7 @@
     ]);
     if (stored.err || demand.err || !isCurrent || this.#stopped) return false;
     this.book.loadProgress(stored.val.rows);
-    const left = parseJson(poolDemandSchema, demand.val.rows[0]?.value ?? "");
-    this.#offers.inherit(left?.offered ?? []);
+    this.#demand.inherit(demand.val.rows[0]?.value ?? "");
     const read = await this.#inbox.poll(0);
     if (read.err || this.#stopped) return false;
     this.#unsubscribe = registry.onChange(() => this.#refreshEndpoints());
@@ -226,8 +216,7 @@
         term: this.parts.lease.term,
       });
       if (isFinal(job.progress.phase)) this.driver.stopJob(job.spec.id);
-      const age = clock.wall() - job.spec.acceptedAt;
-      if (age < freshJobMs) this.#arrivals.arrived(job.spec, clock.now());
+      this.#demand.arrived(job.spec);
     }
     this.wantPlan();
   }
@@ -263,7 +252,7 @@
     this.#caretaker.pass();
     this.#expireJobs(now);
     this.#writeCounts(now);
-    this.#writeDemand(now);
+    this.#demand.report(this.#activeJobs(), this.driver.sessions());
     if (lease.ageMs > renewMs) this.commits.flush();
     this.wantPlan();
     return Promise.resolve(carePeriodMs);
@@ -279,10 +268,10 @@
     const vacating = this.parts.vacating();
     const policy = {
       isClosed: (id: string) =>
-        vacating.has(id) || this.#offers.isClosed(id, now),
-      isUnsettled: (id: string) => this.#offers.isUnsettled(id, now),
+        vacating.has(id) || this.#demand.offers.isClosed(id, now),
+      isUnsettled: (id: string) => this.#demand.offers.isUnsettled(id, now),
     };
-    const runMsOf = (queue: string) => this.#arrivals.runMs(queue);
+    const runMsOf = (queue: string) => this.#demand.runMs(queue);
     const time = { now, wall: clock.wall(), runMsOf };
     const planned = planStarts(jobs, this.driver.sessions(), policy, time);
     // Gang members share a run, so numbers are drawn before any is placed.
@@ -313,7 +302,7 @@
       ageMs: Math.round(clock.wall() - job.spec.acceptedAt),
     });
     const started = this.driver.intend(session, job.spec, ref, run, checkpoint);
-    this.commits.then(() => this.driver.start(session, started));
+    this.commits.then(() => this.driver.runs.start(session, started));
   }
 
   /** Whether a run that was intended should still start. */
@@ -357,7 +346,7 @@
     const { clock, log, shard } = this.parts;
     const placed = taskAt(job.progress, ref)?.placement;
     if (end === "done" && ranMs !== undefined) {
-      this.#arrivals.ran(job.spec.queue, ranMs);
+      this.#demand.ran(job.spec.queue, ranMs);
     }
     if (end === "failed" && placed?.run === run) {
       this.book.noteFailure(job, ref, placed.endpoint);
@@ -375,7 +364,7 @@
       known: placed?.run === run,
     });
     if (isFinal(next.phase)) this.driver.stopJob(id);
-    else this.driver.stopOtherRuns(taskName(id, ref), run, end);
+    else if (end === "done") this.driver.stopOtherRuns(taskName(id, ref), run);
     this.wantPlan();
   }
 
@@ -398,34 +387,6 @@
     this.commits.put({ ...countsKey(this.parts.shard), value });
   }
 
-  #writeDemand(now: number): void {
-    if (now - this.#demandAt < demandPeriodMs) return;
-    const sessions = this.driver.sessions();
-    const arriving = this.#arrivals.cpuMillis(now);
-    const want = hostsWanted(this.#activeJobs(), sessions, arriving);
-    this.#offers.adjust(sessions, want);
-    if (want !== this.#want) {
-      this.#want = want;
-      this.parts.log.decision("pool-demand", {
-        shard: this.parts.shard,
-        want,
-        endpoints: sessions.filter((s) => s.isOpen).length,
-        offered: this.#offers.offered.length,
-        arrivingCpu: Math.round(arriving),
-      });
-    }
-    const demand: PoolDemand = { want, offered: [...this.#offers.offered] };
-    const value = JSON.stringify(demand);
-    if (value === this.#demand) return;
-    this.#demand = value;
-    this.#demandAt = now;
-    const { clock, shard } = this.parts;
-    this.commits.put({ ...demandKey(shard), value });
-    this.commits.then(() => {
-      if (this.#demand === value) this.#offers.stored(clock.now());
-    });
-  }
-
   #activeJobs(): readonly BookedJob[] {
     return [...this.book.active]
       .map((id) => this.book.jobs.get(id)).filter((job) => job !== undefined);
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -5,3 +5,9 @@
   DecisionWriter,
   type DecisionWriterOptions,
 } from "./decision_writer.ts";
+export {
+  CountedLog,
+  meteredStore,
+  type MeterGauges,
+  Meters,
+} from "./meters.ts";
--- /dev/null
+++ b/src/telemetry/meters.ts
@@ -0,0 +1,142 @@
+/** Counters and latency histograms, served as text to whoever scrapes them. */
+import { createServer, type Server } from "node:http";
+import { Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { Result } from "ts-results";
+import type { DecisionFields, DecisionLog } from "../scheduler/index.ts";
+import type { Store, StoreFailure } from "../store/index.ts";
+
+/** Upper bounds of the latency buckets, in seconds. */
+const latencyBuckets = [
+  0.005,
+  0.01,
+  0.025,
+  0.05,
+  0.1,
+  0.25,
+  0.5,
+  1,
+  2.5,
+  5,
+  10,
+];
+
+/** Values that are read when the metrics are. */
+export interface MeterGauges {
+  /** Shards that the entry owns. */
+  readonly shards: () => number;
+  /** Whether callers should come to the entry: 1 or 0. */
+  readonly ready: () => number;
+}
+
+/** The metrics of an entry. */
+export class Meters {
+  readonly #registry = new Registry();
+  readonly #decisions = new Counter({
+    name: "briartide_decisions_total",
+    help: "Decisions by event and outcome.",
+    labelNames: ["event", "outcome"],
+    registers: [this.#registry],
+  });
+  readonly #answers = new Histogram({
+    name: "briartide_caller_answer_seconds",
+    help: "Time to a caller's answer, by method and status.",
+    labelNames: ["method", "status"],
+    buckets: latencyBuckets,
+    registers: [this.#registry],
+  });
+  readonly #storeCalls = new Histogram({
+    name: "briartide_store_call_seconds",
+    help: "Time of a call to the store, by call and outcome.",
+    labelNames: ["call", "outcome"],
+    buckets: latencyBuckets,
+    registers: [this.#registry],
+  });
+  readonly #waits = new Histogram({
+    name: "briartide_task_wait_seconds",
+    help: "Time from a job's acceptance to the placing of a task.",
+    buckets: latencyBuckets,
+    registers: [this.#registry],
+  });
+
+  constructor(gauges: MeterGauges) {
+    for (const [name, read] of Object.entries(gauges)) {
+      new Gauge({
+        name: `briartide_${name}`,
+        help: `Present value of ${name}.`,
+        registers: [this.#registry],
+        collect() {
+          this.set(read());
+        },
+      });
+    }
+  }
+
+  /** Counts a decision, and its times where it carries some. */
+  decision(event: string, fields: DecisionFields): void {
+    const { end, outcome, status } = fields;
+    const label = String(end ?? outcome ?? status ?? "");
+    this.#decisions.inc({ event, outcome: label });
+    if (event === "caller-answered" && typeof fields.ms === "number") {
+      const labels = { method: String(fields.method), status: label };
+      this.#answers.observe(labels, fields.ms / 1_000);
+    }
+    if (event === "task-placed" && typeof fields.ageMs === "number") {
+      this.#waits.observe(fields.ageMs / 1_000);
+    }
+  }
+
+  /** Notes a call to the store. */
+  storeCall(call: string, outcome: string, ms: number): void {
+    this.#storeCalls.observe({ call, outcome }, ms / 1_000);
+  }
+
+  /** Serves the metrics as text. */
+  serve(host: string, port: number): Promise<Server> {
+    const server = createServer(async (_, res) => {
+      const text = await this.#registry.metrics();
+      res.writeHead(200, { "content-type": this.#registry.contentType });
+      res.end(text);
+    });
+    return new Promise((resolve, reject) => {
+      server.once("error", reject);
+      server.listen(port, host, () => resolve(server));
+    });
+  }
+}
+
+/** A log that also counts. */
+export class CountedLog implements DecisionLog {
+  constructor(
+    private readonly log: DecisionLog,
+    private readonly meters: Meters,
+  ) {}
+
+  decision(event: string, fields: DecisionFields): void {
+    this.meters.decision(event, fields);
+    this.log.decision(event, fields);
+  }
+}
+
+/** Notes the time and the outcome of each call to a store. */
+export function meteredStore(
+  store: Store,
+  meters: Meters,
+  now: () => number,
+): Store {
+  const timed = async <T>(
+    call: string,
+    answer: Promise<Result<T, StoreFailure>>,
+  ): Promise<Result<T, StoreFailure>> => {
+    const startedAt = now();
+    const result = await answer;
+    const outcome = result.ok ? "ok" : result.val.kind;
+    meters.storeCall(call, outcome, now() - startedAt);
+    return result;
+  };
+  return {
+    commit: (tx) => timed("commit", store.commit(tx)),
+    range: (query) => timed("range", store.range(query)),
+    feed: (table, after, waitMs) =>
+      timed("feed", store.feed(table, after, waitMs)),
+  };
+}
--- a/test/platform/front_server_test.ts
+++ b/test/platform/front_server_test.ts
@@ -64,6 +64,7 @@
       "cloud.addr|json": '"127.0.0.1:4"',
       "bounds.leaseMs": "3000",
       "hint": "",
+      "ip": "127.0.0.1",
     };
     const text = readFileSync("deploy/settings.toml.tmpl", "utf8")
       .replace(/\{\{([^}]*)\}\}/g, (_, name: string) => values[name] ?? "?");
