Wait for the holder before only as long as its orders can arrive; let late work want few hosts

A holder that was killed, or that can't reach the store, is not in touch, so only its orders on the way matter: 0.3 s after an end, 1.3 s after silence; the fleet is no longer released for balance. And late jobs held hosts that on-time work of another pool lacked.

--- a/sim/world.ts
+++ b/sim/world.ts
@@ -175,7 +175,6 @@
       crashed: (actor, err) => {
         this.oracle.violations.push(`CRASH of ${actor}: ${err}`);
       },
-      handoverMs: 3_000,
     });
     this.entries.set(name, { name, process, store, orders, service });
     service.start();
--- a/src/cluster/assignment.ts
+++ b/src/cluster/assignment.ts
@@ -45,16 +45,18 @@
 
 /**
  * A shard that its holder should release: one of a member with at least two
- * more than the least loaded member that accepts shards.
+ * more than the least loaded member that accepts shards, but never `pinned`.
  */
 export function shardToRelease(
   self: string,
   members: readonly Member[],
+  pinned?: string,
 ): string | undefined {
   const own = members.find((m) => m.entry === self);
   const others = members.filter((m) => m.accepting && m.entry !== self);
   if (own === undefined || others.length === 0) return undefined;
   const least = Math.min(...others.map((m) => m.shards.length));
   if (own.shards.length < least + 2) return undefined;
-  return [...own.shards].sort((a, b) => weight(a, self) - weight(b, self))[0];
+  const movable = own.shards.filter((shard) => shard !== pinned);
+  return movable.sort((a, b) => weight(a, self) - weight(b, self))[0];
 }
--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -12,6 +12,7 @@
   type Owner,
   type OwnerRow,
   ownerTable,
+  type PreviousOwner,
   readOwner,
   ShardLease,
 } from "./shard_lease.ts";
--- a/src/cluster/shard_lease.ts
+++ b/src/cluster/shard_lease.ts
@@ -53,6 +53,13 @@
   readonly boot: string;
 }
 
+/** What is known of the owner before a take-over. */
+export type PreviousOwner =
+  /** It has released the shard, or its process has ended. */
+  | "ended"
+  /** It fell silent, and may go on without the store for a while. */
+  | "silent";
+
 /** An owner row as read; version 0 when there is none. */
 export interface OwnerRow {
   readonly owner: Owner | undefined;
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -2,9 +2,11 @@
  * How many hosts a shard's jobs ask for, now and when a host that is ordered
  * now has arrived.
  *
- * The need of the moment is the room of all tasks that run or could start.
- * The need ahead is the work that arrives in a second: a surge shows in the
- * arrivals before its tasks have piled up.
+ * The need of the moment is the room of all tasks that run or could start;
+ * those of jobs that can no longer be on time count for little, so that they
+ * don't hold hosts that on-time work of another pool needs. The need ahead is
+ * the work that arrives in a second: a surge shows in the arrivals before its
+ * tasks have piled up.
  */
 import {
   isFinal,
@@ -12,6 +14,7 @@
   type JobSpec,
   type Resources,
   startableTasks,
+  type TaskRef,
 } from "../batch/index.ts";
 import type { EndpointSession } from "./endpoint_session.ts";
 import type { BookedJob } from "./job_book.ts";
@@ -26,9 +29,15 @@
 /** Fewest hosts of a pool. */
 const minHosts = 2;
 
-/** Time over which arriving work is measured, in ms. */
+/** Least time over which arriving work is measured, in ms. */
 const arrivalWindowMs = 800;
 
+/** Longest such time, in ms. */
+const maxArrivalWindowMs = 2_500;
+
+/** Share of its room for which the work of a late job counts. */
+const lateShare = 0.25;
+
 /** Arrivals in the window that make a rate; fewer are single jobs. */
 const minArrivals = 3;
 
@@ -39,6 +48,7 @@
 
 interface Arrival {
   readonly at: number;
+  readonly queue: string;
   /** Thousandths of a core times ms. */
   readonly work: number;
 }
@@ -57,7 +67,7 @@
       const each = runMs ?? step.estimateMs;
       return sum + step.count * step.demand.cpuMillis * each;
     }, 0);
-    this.#arrivals.push({ at: now, work });
+    this.#arrivals.push({ at: now, queue: spec.queue, work });
   }
 
   /** Notes how long a task took. */
@@ -71,26 +81,64 @@
     return this.#runMs.get(queue);
   }
 
-  /** Processor that the arriving work keeps busy, in thousandths of a core. */
+  /**
+   * Processor that the arriving work keeps busy, in thousandths of a core.
+   * The work of long tasks is measured over a longer time, as it also keeps
+   * hosts busy for longer.
+   */
   cpuMillis(now: number): number {
     this.#arrivals = this.#arrivals.filter((a) =>
-      now - a.at <= arrivalWindowMs
+      now - a.at <= maxArrivalWindowMs
+    );
+    const queues = new Set(this.#arrivals.map((a) => a.queue));
+    return [...queues].reduce((sum, q) => sum + this.#rateOf(q, now), 0);
+  }
+
+  #rateOf(queue: string, now: number): number {
+    const runMs = this.#runMs.get(queue) ?? 0;
+    const window = Math.min(
+      maxArrivalWindowMs,
+      Math.max(arrivalWindowMs, runMs),
+    );
+    const recent = this.#arrivals.filter((a) =>
+      a.queue === queue && now - a.at <= window
     );
-    if (this.#arrivals.length < minArrivals) return 0;
-    const work = this.#arrivals.reduce((sum, a) => sum + a.work, 0);
-    return work / arrivalWindowMs;
+    if (recent.length < minArrivals) return 0;
+    return recent.reduce((sum, a) => sum + a.work, 0) / window;
   }
 }
 
-/** Room that tasks without a place ask for. */
-function waitingRoom(jobs: Iterable<BookedJob>): Resources {
-  let sum = nothing;
-  for (const { progress, spec } of jobs) {
-    for (const ref of startableTasks(progress, spec)) {
-      sum = addResources(sum, roomOf(spec.steps[ref.step]));
+/** Whether an occurrence of a job can no longer be on time. */
+export type IsLate = (job: BookedJob, occurrence: number) => boolean;
+
+/** Room of tasks that run or wait, late ones by a part of theirs. */
+function roomAsked(
+  jobs: readonly BookedJob[],
+  sessions: readonly EndpointSession[],
+  isLate: IsLate,
+): Resources {
+  const byId = new Map(jobs.map((job) => [job.spec.id, job]));
+  let onTime = nothing;
+  let late = nothing;
+  const count = (job: BookedJob, ref: TaskRef) => {
+    const room = roomOf(job.spec.steps[ref.step]);
+    if (isLate(job, ref.occurrence)) late = addResources(late, room);
+    else onTime = addResources(onTime, room);
+  };
+  for (const job of jobs) {
+    for (const ref of startableTasks(job.progress, job.spec)) count(job, ref);
+  }
+  for (const { runs } of sessions) {
+    for (const run of runs.values()) {
+      const job = byId.get(run.job);
+      if (job !== undefined) count(job, run.ref);
     }
   }
-  return sum;
+  return {
+    cpuMillis: onTime.cpuMillis + late.cpuMillis * lateShare,
+    memoryMb: onTime.memoryMb + late.memoryMb * lateShare,
+    gpus: onTime.gpus + late.gpus,
+  };
 }
 
 /** Fewest endpoints that the spreading of any step asks for. */
@@ -114,12 +162,9 @@
   jobs: readonly BookedJob[],
   sessions: readonly EndpointSession[],
   arrivingCpuMillis: number,
+  isLate: IsLate,
 ): number {
-  const running = sessions.reduce(
-    (sum, s) => addResources(sum, s.used),
-    nothing,
-  );
-  const room = addResources(running, waitingRoom(jobs));
+  const room = roomAsked(jobs, sessions, isLate);
   const capacity = sessions[0]?.endpoint.capacity;
   const spread = minEndpoints(jobs);
   if (capacity === undefined) return Math.max(minHosts, spread);
--- a/src/scheduler/demand_reporter.ts
+++ b/src/scheduler/demand_reporter.ts
@@ -1,5 +1,5 @@
 /** Tells the fleet's owner how many hosts a shard wants, and which it offers. */
-import type { JobSpec } from "../batch/index.ts";
+import { isStepDone, type JobSpec } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import { parseJson, type RowPut } from "../store/index.ts";
 import {
@@ -8,10 +8,11 @@
   poolDemandSchema,
 } from "../upkeep/index.ts";
 import type { DecisionLog } from "./decision_log.ts";
-import { ArrivalRate, hostsWanted } from "./demand.ts";
+import { ArrivalRate, hostsWanted, type IsLate } from "./demand.ts";
 import type { EndpointSession } from "./endpoint_session.ts";
 import { HostOffers } from "./host_offers.ts";
 import type { BookedJob } from "./job_book.ts";
+import { onTimeTier, rankOf } from "./order.ts";
 
 /** Least time between two writes of the demand, in ms. */
 const demandPeriodMs = 180;
@@ -19,6 +20,9 @@
 /** Age up to which a job that is read counts as arriving, in ms. */
 const freshJobMs = 1_500;
 
+/** Time after which an offer that nobody takes is not needed, in ms. */
+const untakenMs = 1_200;
+
 /** What the reporter works with. */
 export interface DemandParts {
   readonly shard: string;
@@ -35,6 +39,8 @@
   #written = "";
   #writtenAt = -Infinity;
   #want = 0;
+  /** Steady time since which endpoints are offered without a break. */
+  #offeringSince: number | undefined;
 
   constructor(private readonly parts: DemandParts) {}
 
@@ -70,7 +76,7 @@
     const now = clock.now();
     if (now - this.#writtenAt < demandPeriodMs) return;
     const arriving = this.#arrivals.cpuMillis(now);
-    const want = hostsWanted(jobs, sessions, arriving);
+    const want = hostsWanted(jobs, sessions, arriving, this.#isLate(now));
     this.offers.adjust(sessions, want);
     this.#tell(want, sessions, arriving);
     const demand: PoolDemand = { want, offered: [...this.offers.offered] };
@@ -83,6 +89,27 @@
     });
   }
 
+  /**
+   * Late work counts in full when nobody has taken what is offered for a
+   * while: then no other pool needs the hosts.
+   */
+  #isLate(now: number): IsLate {
+    if (this.offers.offered.length === 0) this.#offeringSince = undefined;
+    else this.#offeringSince ??= now;
+    const since = this.#offeringSince;
+    if (since !== undefined && now - since > untakenMs) return () => false;
+    const wall = this.parts.clock.wall();
+    return ({ spec, progress }, occurrence) => {
+      const tasks = progress.open.get(occurrence);
+      const rank = rankOf(spec, occurrence, {
+        now: wall,
+        runMs: this.runMs(spec.queue),
+        isDone: (step) => tasks !== undefined && isStepDone(tasks, step),
+      });
+      return rank.tier > onTimeTier;
+    };
+  }
+
   #tell(
     want: number,
     sessions: readonly EndpointSession[],
--- a/src/scheduler/driver_parts.ts
+++ b/src/scheduler/driver_parts.ts
@@ -1,7 +1,11 @@
 /** What the drivers of a shard's endpoints work with, and whom they tell. */
 import type { RunEnd, TaskRef } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
-import { memberLeaseMs, type ShardLease } from "../cluster/index.ts";
+import {
+  memberLeaseMs,
+  type PreviousOwner,
+  type ShardLease,
+} from "../cluster/index.ts";
 import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import {
@@ -19,13 +23,6 @@
  */
 export const holdWithoutStoreMs = 4_500;
 
-/** What is known of the owner before this one. */
-export type PreviousOwner =
-  /** It has released the shard, or its process has ended. */
-  | "ended"
-  /** It fell silent, and may go on without the store for a while. */
-  | "silent";
-
 /** Longest time that a lease of the owner before may still last, in ms. */
 export function longestLease(previous: PreviousOwner): number {
   const lease = taskLeaseMs * (1 + clockDrift) + deliveryMs;
--- a/src/scheduler/host_offers.ts
+++ b/src/scheduler/host_offers.ts
@@ -1,5 +1,8 @@
 /**
- * The endpoints that a shard keeps empty and offers to other pools.
+ * The endpoints that a shard empties and offers to other pools.
+ *
+ * What the pool does not need is closed to new work at once, and offered when
+ * it is empty; until then it can be opened again at any moment.
  *
  * The offer stands in the store, and the fleet's owner may act on it at any
  * moment. So an endpoint that is taken back gets work only some time after
@@ -30,6 +33,8 @@
 /** Offers of one shard. */
 export class HostOffers {
   readonly #offered = new Set<string>();
+  /** Endpoints that are closed, to be offered once they are empty. */
+  readonly #closing = new Set<string>();
   readonly #withdrawn = new Map<string, Withdrawal>();
 
   /** Endpoints that are offered. */
@@ -44,7 +49,9 @@
 
   /** Whether an endpoint must not get work. */
   isClosed(endpoint: string, now: number): boolean {
-    if (this.#offered.has(endpoint)) return true;
+    if (this.#offered.has(endpoint) || this.#closing.has(endpoint)) {
+      return true;
+    }
     return now < (this.#withdrawn.get(endpoint)?.anyFrom ?? 0);
   }
 
@@ -61,21 +68,34 @@
     for (const id of this.#offered) {
       if (!ids.has(id)) this.#offered.delete(id);
     }
-    let kept = open.length - this.#offered.size;
-    for (const id of [...this.#offered]) {
-      if (kept >= want) break;
+    this.#closing.clear();
+    const kept = open.length - this.#offered.size;
+    if (kept < want) this.#withdraw(want - kept);
+    else this.#offerSome(open, kept - want);
+  }
+
+  #withdraw(count: number): void {
+    for (const id of [...this.#offered].slice(0, count)) {
       this.#offered.delete(id);
       this.#withdrawn.set(id, unconfirmed);
-      kept++;
     }
-    for (const { endpoint, runs } of open) {
-      if (kept <= want) break;
-      const { id } = endpoint;
-      if (runs.size > 0 || this.#offered.has(id)) continue;
-      if (this.#withdrawn.get(id) === unconfirmed) continue;
+  }
+
+  /** Those with the fewest runs are closed; the empty ones are offered. */
+  #offerSome(open: readonly EndpointSession[], count: number): void {
+    const movable = open
+      .filter(({ endpoint: { id }, runs }) =>
+        !this.#offered.has(id) && this.#withdrawn.get(id) !== unconfirmed &&
+        [...runs.values()].every((run) => !run.step.longRunning)
+      )
+      .sort((a, b) => a.runs.size - b.runs.size);
+    for (const { endpoint: { id }, runs } of movable.slice(0, count)) {
+      if (runs.size > 0) {
+        this.#closing.add(id);
+        continue;
+      }
       this.#offered.add(id);
       this.#withdrawn.delete(id);
-      kept--;
     }
   }
 
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -1,7 +1,6 @@
 /** Placement of tasks on endpoints, and the owner of a shard around it. */
 export type { DecisionFields, DecisionLog } from "./decision_log.ts";
 export { EndpointSession, type Run, taskLeaseMs } from "./endpoint_session.ts";
-export type { PreviousOwner } from "./driver_parts.ts";
 export { type BookedJob, JobBook } from "./job_book.ts";
 export { compareRanks, longestChainMs, rankOf } from "./order.ts";
 export { paceRuns, worstLoad } from "./pace.ts";
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -39,6 +39,9 @@
   return Math.max(0, ...ends);
 }
 
+/** Highest tier of a rank whose job can be on time. */
+export const onTimeTier = 1;
+
 /** What decides the order of an occurrence's tasks; lower goes first. */
 export interface Rank {
   readonly priority: number;
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -29,7 +29,11 @@
   type TaskRef,
 } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
-import type { CommitFailure, ShardLease } from "../cluster/index.ts";
+import type {
+  CommitFailure,
+  PreviousOwner,
+  ShardLease,
+} from "../cluster/index.ts";
 import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
 import {
   partitionsOf,
@@ -43,7 +47,6 @@
 import { CommitQueue } from "./commit_queue.ts";
 import { DemandReporter } from "./demand_reporter.ts";
 import type { DecisionLog } from "./decision_log.ts";
-import type { PreviousOwner } from "./driver_parts.ts";
 import { EndpointDriver } from "./endpoint_driver.ts";
 import type { Run } from "./endpoint_session.ts";
 import { type BookedJob, JobBook } from "./job_book.ts";
--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -57,8 +57,6 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly crashed: (actor: string, err: unknown) => void;
-  /** Least time between host orders of two holders, in ms. */
-  readonly handoverMs: number;
 }
 
 /** Runs batch jobs. */
--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -12,16 +12,13 @@
   memberSchema,
   MemberView,
   type Owner,
+  type PreviousOwner,
   readOwner,
   ShardLease,
   shardToRelease,
 } from "../cluster/index.ts";
 import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
-import {
-  type DecisionLog,
-  type PreviousOwner,
-  ShardOwner,
-} from "../scheduler/index.ts";
+import { type DecisionLog, ShardOwner } from "../scheduler/index.ts";
 import {
   parseJson,
   partitionOf,
@@ -61,7 +58,6 @@
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly crashed: (actor: string, err: unknown) => void;
-  readonly handoverMs: number;
   readonly vacating: () => ReadonlyMap<string, VacateState>;
   readonly refreshVacating: () => Promise<boolean>;
   /** Whether the operator's table and the endpoints have been read. */
@@ -194,7 +190,8 @@
   #balance(members: readonly Member[]): void {
     const { self, clock, log } = this.parts;
     if (clock.now() - this.#releasedAt < rebalanceMs) return;
-    const shard = shardToRelease(self.entry, members);
+    // The fleet stays: two holders of host orders must not follow closely.
+    const shard = shardToRelease(self.entry, members, fleetShard);
     const owned = shard === undefined ? undefined : this.#owned.get(shard);
     if (shard === undefined || owned === undefined) return;
     this.#releasedAt = clock.now();
@@ -261,7 +258,7 @@
     previous: PreviousOwner,
   ): Promise<void> {
     if (shard === fleetShard) {
-      this.#owned.set(shard, this.#runFleet(lease));
+      this.#owned.set(shard, this.#runFleet(lease, previous));
       return;
     }
     const owner = new ShardOwner({
@@ -280,9 +277,14 @@
     this.#dropped(shard, owner);
   }
 
-  #runFleet(lease: ShardLease): OwnedShard {
+  #runFleet(lease: ShardLease, previous: PreviousOwner): OwnedShard {
     const { parts } = this;
-    const keeper = new FleetOwner({ ...parts, entry: parts.self.entry, lease });
+    const keeper = new FleetOwner({
+      ...parts,
+      entry: parts.self.entry,
+      lease,
+      previous,
+    });
     let stopped = false;
     const owned: OwnedShard = {
       stop: () => {
--- a/src/settings/batch_settings.ts
+++ b/src/settings/batch_settings.ts
@@ -30,8 +30,6 @@
   hosts: v.strictObject({
     /** Where hosts are listed, moved and taken down. */
     address,
-    /** Least time between host orders of two holders. */
-    handover_ms: whole(0, 60_000, 3_000),
   }, section),
   placement: v.strictObject({
     /** Where advice on endpoints is given; off without it. */
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -4,7 +4,7 @@
  */
 import type { CatalogHolder } from "../catalog/index.ts";
 import type { Clock } from "../clock/index.ts";
-import type { ShardLease } from "../cluster/index.ts";
+import type { PreviousOwner, ShardLease } from "../cluster/index.ts";
 import type { DecisionLog } from "../scheduler/index.ts";
 import { onlyKey } from "../batch/index.ts";
 import { parseJson, type Store } from "../store/index.ts";
@@ -48,6 +48,17 @@
  */
 const offerFreshnessMs = 350;
 
+/**
+ * Time after the take-over before the first order, in ms, in which the orders
+ * of the owner before have arrived or are given up: after a process that has
+ * ended only those on their way, after a silent one also those that its last
+ * commit still allows.
+ */
+const handoverMs: Readonly<Record<PreviousOwner, number>> = {
+  ended: 300,
+  silent: orderFreshnessMs + 300,
+};
+
 /** Time for which a host whose move was rejected is left alone, in ms. */
 const rejectedMoveMs = 2_000;
 
@@ -61,11 +72,7 @@
   readonly catalog: CatalogHolder;
   readonly clock: Clock;
   readonly log: DecisionLog;
-  /**
-   * Time after the take-over before the first order, in ms, so that orders of
-   * two holders for one host never follow closely.
-   */
-  readonly handoverMs: number;
+  readonly previous: PreviousOwner;
 }
 
 /** Orders hosts about. */
@@ -80,8 +87,7 @@
   #isLoaded = false;
 
   constructor(private readonly parts: FleetParts) {
-    const { lease, clock, handoverMs } = parts;
-    this.#startAt = clock.now() + (lease.term > 1 ? handoverMs : 0);
+    this.#startAt = parts.clock.now() + handoverMs[parts.previous];
     this.#waves = new WaveRunner({ ...parts, vacates: this.#vacates });
   }
 
--- a/test/platform/front_server_test.ts
+++ b/test/platform/front_server_test.ts
@@ -62,7 +62,6 @@
       "listen.ready|json": '"127.0.0.1:2"',
       "platform.addr|json": '"127.0.0.1:3"',
       "cloud.addr|json": '"127.0.0.1:4"',
-      "bounds.leaseMs": "3000",
       "hint": "",
       "ip": "127.0.0.1",
     };
