--- a/bench/main.ts
+++ b/bench/main.ts
@@ -2,11 +2,13 @@
 import process from "node:process";
 import { describeError } from "../src/errors/index.ts";
 import { stopPrograms } from "./processes.ts";
+import { placementBench } from "./placement.ts";
 import { rolloutBench } from "./rollout.ts";
 import { slopesBench } from "./slopes.ts";
 import { relayBench } from "./relay.ts";
 
 const benches: Readonly<Record<string, () => Promise<unknown>>> = {
+  placement: placementBench,
   relay: relayBench,
   rollout: rolloutBench,
   slopes: slopesBench,
--- a/src/cluster/members.ts
+++ b/src/cluster/members.ts
@@ -12,7 +12,7 @@
  * Time without a heartbeat after which a member counts as dead while the
  * store answers at once, in ms: three heartbeats.
  */
-export const memberLeaseMs = 1_600;
+export const memberLeaseMs = 1_350;
 
 /** Delays of the store by which that time grows: a write and a read. */
 const leaseDelays = 3;
@@ -21,7 +21,7 @@
  * Time between two reads, in ms, after which silence of the members proves
  * nothing, because the reader itself was paused or cut off.
  */
-const readGapMs = 1_500;
+const readGapMs = 1_000;
 
 export const memberSchema = v.object({
   entry: v.string(),
--- a/src/commands/serve.ts
+++ b/src/commands/serve.ts
@@ -2,7 +2,11 @@
 import process from "node:process";
 import { Entry } from "../entry/index.ts";
 import { describeError } from "../errors/index.ts";
-import { loadSettings } from "../settings/index.ts";
+import {
+  isBatchSettings,
+  loadBatchSettings,
+  loadSettings,
+} from "../settings/index.ts";
 import {
   type Command,
   exitCodes,
@@ -19,6 +23,14 @@
   return loadSettings(parsed.val.values.settings ?? "briartide.toml");
 }
 
+/** Checks the settings of either kind of entry. */
+function checkSettings(args: readonly string[]) {
+  const parsed = parseCommand({ args: [...args], options });
+  if (parsed.err) return parsed;
+  const file = parsed.val.values.settings ?? "briartide.toml";
+  return isBatchSettings(file) ? loadBatchSettings(file) : loadSettings(file);
+}
+
 /** Runs an entry until SIGTERM or SIGINT. */
 export const serveCommand: Command = {
   name: "serve",
@@ -56,7 +68,7 @@
 Prints every error of the settings with its key, its value, and what is
 allowed. Exits with 2 when there is one.`,
   run(args) {
-    const settings = readSettings(args);
+    const settings = checkSettings(args);
     if (settings.err) return Promise.resolve(reportFailure(settings.val));
     print("the settings are valid");
     return Promise.resolve(exitCodes.ok);
--- a/src/scheduler/demand_reporter.ts
+++ b/src/scheduler/demand_reporter.ts
@@ -57,6 +57,11 @@
     if (age < freshJobMs) this.#arrivals.arrived(spec, clock.now());
   }
 
+  /** Whether too few jobs arrive to make a rate. */
+  get isQuiet(): boolean {
+    return this.#arrivals.cpuMillis(this.parts.clock.now()) === 0;
+  }
+
   /** Notes how long a task of a queue took. */
   ran(queue: string, ms: number): void {
     this.#arrivals.ran(queue, ms);
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -24,6 +24,7 @@
   progressRange,
   type RunEnd,
   saveCheckpoint,
+  startableTasks,
   taskAt,
   taskName,
   type TaskRef,
@@ -153,9 +154,11 @@
     });
   }
 
-  /** Whether the stored state has been read and nothing is pending. */
-  get isLoaded(): boolean {
-    return this.#inbox.isFollowing;
+  /** Whether no task waits for a place and few jobs arrive. */
+  get isQuiet(): boolean {
+    return this.#activeJobs().every(({ progress, spec }) =>
+      startableTasks(progress, spec).length === 0
+    ) && this.#demand.isQuiet;
   }
 
   /** Reads the stored state and starts the loops; false when it can't. */
--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -28,8 +28,11 @@
 /** Pause after a failed poll, in ms. */
 const pollRetryMs = 200;
 
-/** Time without an answer of the store after which callers go elsewhere. */
-const storeSilenceMs = 3_000;
+/**
+ * Time without an answer of the store after which callers go elsewhere, in
+ * ms: above the answers of a store that is 96 times as slow.
+ */
+const storeSilenceMs = 1_500;
 
 /** Time for which callers are still served after a shutdown began, in ms. */
 const lameDuckMs = 2_600;
--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -68,6 +68,8 @@
 
 /** Something that runs while a shard is owned. */
 interface OwnedShard {
+  /** Whether nothing waits, so that a change of owner delays nobody. */
+  readonly isQuiet: boolean;
   stop(): void;
   release(): Promise<void>;
 }
@@ -90,6 +92,8 @@
   #releasedAt: number;
   /** Time that the last heartbeat took, in ms. */
   #delayMs = 0;
+  /** Steady time at which a heartbeat without an answer was sent. */
+  #sentAt: number | undefined;
   #stopping = false;
 
   constructor(private readonly parts: ShardKeeperParts) {
@@ -150,11 +154,13 @@
     };
     const value = JSON.stringify(this.#describe());
     const sentAt = clock.now();
+    this.#sentAt = sentAt;
     const sent = await store.commit({
       checks: [],
       puts: [{ ...key, value }],
       removes: [],
     });
+    this.#sentAt = undefined;
     this.#delayMs = clock.now() - sentAt;
     if (sent.ok) this.parts.storeSeen();
     else log.decision("heartbeat-failed", { message: sent.val.message });
@@ -169,7 +175,9 @@
   #claim(): void {
     const { self, clock, catalog, isFollowing } = this.parts;
     if (catalog.current === undefined || !isFollowing()) return;
-    const others = this.#view.live(clock.now(), this.#delayMs)
+    const now = clock.now();
+    const pendingMs = this.#sentAt === undefined ? 0 : now - this.#sentAt;
+    const others = this.#view.live(now, Math.max(this.#delayMs, pendingMs))
       .filter((m) => m.entry !== self.entry);
     const members = [...others, this.#describe()];
     const assigned = assignShards(this.#shards(catalog.current), members);
@@ -193,7 +201,7 @@
     // The fleet stays: two holders of host orders must not follow closely.
     const shard = shardToRelease(self.entry, members, fleetShard);
     const owned = shard === undefined ? undefined : this.#owned.get(shard);
-    if (shard === undefined || owned === undefined) return;
+    if (shard === undefined || owned === undefined || !owned.isQuiet) return;
     this.#releasedAt = clock.now();
     this.#owned.delete(shard);
     log.decision("shard-released", { shard, reason: "balance" });
@@ -287,6 +295,7 @@
     });
     let stopped = false;
     const owned: OwnedShard = {
+      isQuiet: false,
       stop: () => {
         stopped = true;
       },
--- a/src/settings/batch_settings.ts
+++ b/src/settings/batch_settings.ts
@@ -58,6 +58,15 @@
   return loadWith(batchSettingsSchema, file);
 }
 
+/**
+ * Whether a file holds settings of an entry that runs batch jobs: only they
+ * name a row store. False for a file that can't be read.
+ */
+export function isBatchSettings(file: string): boolean {
+  const section = v.object({ store: v.unknown() });
+  return loadWith(section, file).ok;
+}
+
 /** Parses and checks a settings text. */
 export function parseBatchSettings(
   text: string,
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -8,6 +8,7 @@
 export {
   type BatchSettings,
   batchSettingsSchema,
+  isBatchSettings,
   loadBatchSettings,
   parseBatchSettings,
 } from "./batch_settings.ts";
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -49,14 +49,13 @@
 const offerFreshnessMs = 350;
 
 /**
- * Time after the take-over before the first order, in ms, in which the orders
- * of the owner before have arrived or are given up: after a process that has
- * ended only those on their way, after a silent one also those that its last
- * commit still allows.
+ * Time after the take-over before the first order, in ms, in which orders of
+ * the owner before that are on their way arrive. A silent one has not committed
+ * for a member's lease, so it gives no new ones.
  */
 const handoverMs: Readonly<Record<PreviousOwner, number>> = {
   ended: 300,
-  silent: orderFreshnessMs + 300,
+  silent: 600,
 };
 
 /** Time for which a host whose move was rejected is left alone, in ms. */
--- a/test/cluster/shard_lease_test.ts
+++ b/test/cluster/shard_lease_test.ts
@@ -113,7 +113,7 @@
 describe("the view of the members", () => {
   it("drops one whose row stands still for a lease", () => {
     const seen = MemberView.empty.observe([memberRow("a", 1)], 0)
-      .observe([memberRow("a", 1)], 1_000)
+      .observe([memberRow("a", 1)], 700)
       .observe([memberRow("a", 1)], memberLeaseMs);
     assert.deepEqual(seen.live(memberLeaseMs), []);
   });
@@ -143,3 +143,13 @@
     assert.notEqual(shardToRelease("a", two), undefined);
   });
 });
+
+describe("the view of the members in an outage of the store", () => {
+  it("counts nobody dead when the reader's own reads had stopped", () => {
+    // Read at 700 ms, then nothing until the store came back at 2,100 ms.
+    const seen = MemberView.empty.observe([memberRow("a", 1)], 0)
+      .observe([memberRow("a", 1)], 700)
+      .observe([memberRow("a", 1)], 2_100);
+    assert.equal(seen.live(2_100).length, 1);
+  });
+});
--- /dev/null
+++ b/test/settings/batch_settings_test.ts
@@ -0,0 +1,35 @@
+/** Settings of a batch entry. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { parseBatchSettings } from "../../src/settings/index.ts";
+
+const good = `
+[entry]
+id = "e"
+zone = "z"
+[listen]
+callers = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[store]
+address = "127.0.0.1:3"
+[hosts]
+address = "127.0.0.1:4"
+[placement]
+`;
+
+describe("settings of a batch entry", () => {
+  it("takes defaults for what is left out", () => {
+    const settings = parseBatchSettings(good).unwrap();
+    assert.equal(settings.listen.metrics, "");
+    assert.equal(settings.log.lines_per_s, 500);
+  });
+
+  it("names every fault at once", () => {
+    const wrong = good.replace("127.0.0.1:1", "nowhere")
+      .replace('zone = "z"', "zone = 5");
+    const settings = parseBatchSettings(wrong);
+    assert.ok(settings.err);
+    const keys = settings.val.issues?.map((issue) => issue.key);
+    assert.deepEqual(keys, ["entry.zone", "listen.callers"]);
+  });
+});
