--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -41,6 +41,12 @@
 /** Time after the start before shards are taken, so that all members show. */
 const settleMs = 800;
 
+/**
+ * Time after which any entry takes a shard that nobody holds, in ms: the one
+ * that should may see the others differently, or not reach the store.
+ */
+const passedOverMs = 1_000;
+
 /** Least time between two releases for the sake of balance, in ms. */
 const rebalanceMs = 5_000;
 
@@ -84,6 +90,8 @@
 export class ShardKeeper {
   readonly #owned = new Map<string, OwnedShard>();
   readonly #taking = new Set<string>();
+  /** Steady time since which no live member holds a shard. */
+  readonly #unheldSince = new Map<string, number>();
   readonly #sightings = new Map<string, OwnerSighting>();
   readonly #members: TableWatch;
   readonly #memberRows = new Map<string, Row>();
@@ -181,10 +189,14 @@
       .filter((m) => m.entry !== self.entry);
     const members = [...others, this.#describe()];
     const assigned = assignShards(this.#shards(catalog.current), members);
+    for (const shard of this.#unheldSince.keys()) {
+      if (!assigned.has(shard)) this.#unheldSince.delete(shard);
+    }
     for (const [shard, entry] of assigned) {
-      if (entry === self.entry && !this.#taking.has(shard)) {
-        this.#take(shard, members);
-      }
+      const since = this.#unheldSince.get(shard) ?? now;
+      this.#unheldSince.set(shard, since);
+      const mayTake = entry === self.entry || now - since > passedOverMs;
+      if (mayTake && !this.#taking.has(shard)) this.#take(shard, members);
     }
     this.#balance(members);
   }
