Keep two hosts in reserve in each pool

A pool that shrank to one host above its need met the next surge with 32 to 48 cores for the 2 s that a move takes.

--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -24,7 +24,7 @@
 const fillShare = 0.85;
 
 /** Hosts that a pool keeps beyond its need, for the next jobs. */
-const reserveHosts = 1;
+const reserveHosts = 2;
 
 /** Fewest hosts of a pool. */
 const minHosts = 2;
