--- /dev/null
+++ b/sim/random.ts
@@ -0,0 +1,20 @@
+/** Numbers that a seed decides. */
+
+/** A seeded source of numbers in [0, 1). */
+export function seededRandom(seed: number): () => number {
+  let state = seed >>> 0;
+  return () => {
+    state = (state + 0x6d2b79f5) >>> 0;
+    let t = state;
+    t = Math.imul(t ^ (t >>> 15), t | 1);
+    t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
+    return ((t ^ (t >>> 14)) >>> 0) / 4_294_967_296;
+  };
+}
+
+/** A 32-bit hash of a text. */
+export function hashText(text: string): number {
+  let h = 2_166_136_261;
+  for (const c of text) h = Math.imul(h ^ (c.codePointAt(0) ?? 0), 16_777_619);
+  return h >>> 0;
+}
--- a/sim/world.ts
+++ b/sim/world.ts
@@ -27,6 +27,7 @@
 } from "./model_endpoints.ts";
 import { ModelStore } from "./model_store.ts";
 import { Oracle } from "./oracle.ts";
+import { hashText, seededRandom } from "./random.ts";
 import { ProcessClock, VirtualClock } from "./virtual_clock.ts";
 
 /** Longest step of the clock, in ms. */
@@ -76,18 +77,6 @@
   readonly service: BatchService;
 }
 
-/** A seeded source of numbers in [0, 1). */
-export function seededRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let t = state;
-    t = Math.imul(t ^ (t >>> 15), t | 1);
-    t ^= t + Math.imul(t ^ (t >>> 7), t | 61);
-    return ((t ^ (t >>> 14)) >>> 0) / 4_294_967_296;
-  };
-}
-
 /** The model. */
 export class World {
   readonly clock = new VirtualClock();
@@ -281,7 +270,7 @@
     const spec = parsed && this.specs.get(parsed.job);
     const step: StepSpec | undefined = spec?.steps[parsed?.ref.step ?? -1];
     if (spec === undefined || step === undefined) return undefined;
-    const noise = seededRandom(hash(`${this.options.seed} ${task}`));
+    const noise = seededRandom(hashText(`${this.options.seed} ${task}`));
     const workMs = step.estimateMs * (0.5 + noise());
     const poison = spec.payload === "poison";
     const failures = Math.floor(noise() * 1.3);
@@ -396,9 +385,3 @@
     return { kind: "done" };
   }
 }
-
-function hash(text: string): number {
-  let h = 2_166_136_261;
-  for (const c of text) h = Math.imul(h ^ (c.codePointAt(0) ?? 0), 16_777_619);
-  return h >>> 0;
-}
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -31,7 +31,7 @@
 } from "./endpoint_session.ts";
 import { OrphanRuns } from "./orphan_runs.ts";
 import { RunOrders } from "./run_orders.ts";
-import { afterFailure, afterSuccess } from "./suspicion.ts";
+import { afterFailure, noSuspicion } from "./suspicion.ts";
 
 /** How long a hold waits for an end, in ms. */
 const holdWaitMs = 1_000;
@@ -332,7 +332,7 @@
     const run = session.find(task, number);
     const now = this.parts.clock.now();
     if (run !== undefined) {
-      if (end === "done") session.suspicion = afterSuccess(session.suspicion);
+      if (end === "done") session.suspicion = noSuspicion;
       if (end === "failed") {
         session.suspicion = afterFailure(session.suspicion, run.job, now);
       }
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -12,10 +12,10 @@
   roomOf,
 } from "./place.ts";
 export { planStarts } from "./planner.ts";
-export { ShardOwner, type ShardParts } from "./shard_owner.ts";
+export { ShardOwner } from "./shard_owner.ts";
+export type { ShardParts } from "./shard_parts.ts";
 export {
   afterFailure,
-  afterSuccess,
   mayGetWork,
   noSuspicion,
   type Suspicion,
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -29,28 +29,21 @@
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
-import type { Clock } from "../clock/index.ts";
-import type {
-  CommitFailure,
-  PreviousOwner,
-  ShardLease,
-} from "../cluster/index.ts";
-import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import type { CommitFailure } from "../cluster/index.ts";
 import {
   partitionsOf,
   type Row,
   type RowChange,
-  type Store,
   TableWatch,
 } from "../store/index.ts";
-import { demandKey, type VacateState } from "../upkeep/index.ts";
+import { demandKey } from "../upkeep/index.ts";
 import { Caretaker } from "./caretaker.ts";
 import { CommitQueue } from "./commit_queue.ts";
 import { DemandReporter } from "./demand_reporter.ts";
-import type { DecisionLog } from "./decision_log.ts";
 import { EndpointDriver } from "./endpoint_driver.ts";
 import type { Run } from "./endpoint_session.ts";
 import { type BookedJob, JobBook } from "./job_book.ts";
+import type { ShardParts } from "./shard_parts.ts";
 import { planStarts } from "./planner.ts";
 
 /** How long a poll of the inbox waits for a new job, in ms. */
@@ -74,25 +67,6 @@
 /** How long a final job can be asked for, in ms. */
 const keepFinalMs = 150_000;
 
-/** What an owner works with. */
-export interface ShardParts {
-  readonly shard: string;
-  readonly lease: ShardLease;
-  readonly previous: PreviousOwner;
-  readonly store: Store;
-  readonly orders: TaskOrders;
-  readonly registry: EndpointRegistry;
-  readonly clock: Clock;
-  readonly log: DecisionLog;
-  /** Endpoints whose host is due for maintenance, by id. */
-  readonly vacating: () => ReadonlyMap<string, VacateState>;
-  /** Reads them anew; false when it can't. */
-  readonly refreshVacating: () => Promise<boolean>;
-  readonly crashed: (actor: string, err: unknown) => void;
-  /** Called once when the shard belongs to another owner. */
-  readonly lost: () => void;
-}
-
 /** The running owner of a shard. */
 export class ShardOwner {
   readonly book = new JobBook();
--- a/src/scheduler/suspicion.ts
+++ b/src/scheduler/suspicion.ts
@@ -24,18 +24,13 @@
   readonly backoffMs: number;
 }
 
-/** Nothing is held against the endpoint. */
+/** Nothing is held against the endpoint; so it is after each success. */
 export const noSuspicion: Suspicion = {
   failed: new Set(),
   avoidUntil: 0,
   backoffMs: firstBackoffMs,
 };
 
-/** After a run that ended well. */
-export function afterSuccess(_: Suspicion): Suspicion {
-  return noSuspicion;
-}
-
 /** After a run that failed or stood still. */
 export function afterFailure(
   s: Suspicion,
--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -5,21 +5,16 @@
  * All entries are equal. What must last or be agreed is in the store.
  */
 import { ActorSystem } from "../actors/index.ts";
-import type { CatalogHolder } from "../catalog/index.ts";
-import { type Clock, delay } from "../clock/index.ts";
-import type { Holder } from "../cluster/index.ts";
-import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import { delay } from "../clock/index.ts";
 import { Intake } from "../intake/index.ts";
-import type { DecisionLog } from "../scheduler/index.ts";
-import { type Store, TableWatch } from "../store/index.ts";
+import { TableWatch } from "../store/index.ts";
 import {
   decodeVacate,
   fleetShard,
-  type HostControl,
   type VacateState,
   vacateTable,
-  type WaveBoard,
 } from "../upkeep/index.ts";
+import type { EntryParts } from "./entry_parts.ts";
 import { ShardKeeper } from "./shard_keeper.ts";
 
 /** How long a poll of the endpoints to empty waits, in ms. */
@@ -48,18 +43,8 @@
 }
 
 /** What the service works with. */
-export interface ServiceParts {
-  readonly self: Holder & { readonly zone: string };
-  readonly store: Store;
-  readonly orders: TaskOrders;
-  readonly control: HostControl;
-  readonly board: WaveBoard;
-  readonly catalog: CatalogHolder;
-  readonly registry: EndpointRegistry;
+export interface ServiceParts extends EntryParts {
   readonly followed: readonly FollowedTable[];
-  readonly clock: Clock;
-  readonly log: DecisionLog;
-  readonly crashed: (actor: string, err: unknown) => void;
 }
 
 /** Runs batch jobs. */
--- /dev/null
+++ b/src/service/entry_parts.ts
@@ -0,0 +1,22 @@
+/** What every part of an entry works with. */
+import type { CatalogHolder } from "../catalog/index.ts";
+import type { Clock } from "../clock/index.ts";
+import type { Holder } from "../cluster/index.ts";
+import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import type { DecisionLog } from "../scheduler/index.ts";
+import type { Store } from "../store/index.ts";
+import type { HostControl, WaveBoard } from "../upkeep/index.ts";
+
+/** The outside of an entry, and its identity. */
+export interface EntryParts {
+  readonly self: Holder & { readonly zone: string };
+  readonly store: Store;
+  readonly orders: TaskOrders;
+  readonly control: HostControl;
+  readonly board: WaveBoard;
+  readonly catalog: CatalogHolder;
+  readonly registry: EndpointRegistry;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly crashed: (actor: string, err: unknown) => void;
+}
--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -2,11 +2,9 @@
  * Decides with the other entries, through the store, which shards this entry
  * owns, and runs their owners.
  */
-import type { Catalog, CatalogHolder } from "../catalog/index.ts";
-import type { Clock } from "../clock/index.ts";
+import type { Catalog } from "../catalog/index.ts";
 import {
   assignShards,
-  type Holder,
   type Member,
   memberLeaseMs,
   memberSchema,
@@ -17,23 +15,16 @@
   ShardLease,
   shardToRelease,
 } from "../cluster/index.ts";
-import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
-import { type DecisionLog, ShardOwner } from "../scheduler/index.ts";
+import { ShardOwner } from "../scheduler/index.ts";
 import {
   parseJson,
   partitionOf,
   partitionsOf,
   type Row,
-  type Store,
   TableWatch,
 } from "../store/index.ts";
-import {
-  FleetOwner,
-  fleetShard,
-  type HostControl,
-  type VacateState,
-  type WaveBoard,
-} from "../upkeep/index.ts";
+import { FleetOwner, fleetShard, type VacateState } from "../upkeep/index.ts";
+import type { EntryParts } from "./entry_parts.ts";
 
 /** Time between two heartbeats, in ms; three fit into a member's lease. */
 const heartbeatMs = 450;
@@ -53,17 +44,7 @@
 const membersTable = "members";
 
 /** What the keeper works with. */
-export interface ShardKeeperParts {
-  readonly self: Holder & { readonly zone: string };
-  readonly store: Store;
-  readonly orders: TaskOrders;
-  readonly control: HostControl;
-  readonly board: WaveBoard;
-  readonly catalog: CatalogHolder;
-  readonly registry: EndpointRegistry;
-  readonly clock: Clock;
-  readonly log: DecisionLog;
-  readonly crashed: (actor: string, err: unknown) => void;
+export interface ShardKeeperParts extends EntryParts {
   readonly vacating: () => ReadonlyMap<string, VacateState>;
   readonly refreshVacating: () => Promise<boolean>;
   /** Whether the operator's table and the endpoints have been read. */
