--- a/sim/model_endpoints.ts
+++ b/sim/model_endpoints.ts
@@ -12,7 +12,7 @@
   TaskEndpoint,
   TaskOrders,
 } from "../src/endpoint/index.ts";
-import { parseTaskName, type StepSpec } from "../src/batch/index.ts";
+import type { StepSpec } from "../src/batch/index.ts";
 import type { Oracle } from "./oracle.ts";
 import type { ProcessClock, VirtualClock } from "./virtual_clock.ts";
 
@@ -324,12 +324,3 @@
     });
   }
 }
-
-/** The step of a task by its name. */
-export function stepOf(
-  task: string,
-  steps: (job: string) => readonly StepSpec[] | undefined,
-): StepSpec | undefined {
-  const parsed = parseTaskName(task);
-  return parsed && steps(parsed.job)?.[parsed.ref.step];
-}
--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -153,19 +153,6 @@
   return p.phase === "queued" ? { ...p, phase: "running" } : p;
 }
 
-/** Remembers a newer checkpoint of a task's present run. */
-export function saveCheckpoint(
-  p: Progress,
-  ref: TaskRef,
-  run: number,
-  checkpoint: string,
-): Progress {
-  const task = taskAt(p, ref);
-  if (task?.placement?.run !== run || checkpoint === "") return p;
-  if (task.checkpoint === checkpoint) return p;
-  return withTask(p, ref, { ...task, checkpoint });
-}
-
 /**
  * Records the end of a run. A `done` of an earlier run counts as well: the
  * work is done, whichever run did it. Other ends of earlier runs change
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -23,7 +23,6 @@
   progressKey,
   progressRange,
   type RunEnd,
-  saveCheckpoint,
   startableTasks,
   taskAt,
   taskName,
@@ -331,8 +330,7 @@
     if (end === "failed" && placed?.run === run) {
       this.book.noteFailure(job, ref, placed.endpoint);
     }
-    const saved = saveCheckpoint(job.progress, ref, run, checkpoint);
-    const next = endRun(saved, job.spec, ref, run, end, checkpoint);
+    const next = endRun(job.progress, job.spec, ref, run, end, checkpoint);
     this.book.update(job, next, clock.now());
     log.decision("task-ended", {
       job: id,
