Learn how long tasks run, by queue and estimate

Cause: the shard's owner never passed run times on, so the order of jobs and the forecast of hosts went by callers' estimates, which are off by a factor of two and more. Now each finished run teaches its queue's owner: the queue's own mean and the estimate times the queue's mean factor, joined by the inverse of their variances. Runs that resumed or that an earlier owner started teach nothing, as their start is not known.

The log line of a placement tells the run time that was expected.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -9,6 +9,7 @@
   EndpointSession,
   JobBook,
   planStarts,
+  RunTimes,
 } from "../src/scheduler/index.ts";
 
 const repetitions = 20;
@@ -62,7 +63,7 @@
     const sessions = Array.from({ length: endpoints }, (_, i) => session(i));
     const times = Array.from({ length: repetitions }, () => {
       const startedAt = performance.now();
-      const time = { now: 0, wall: 100, runMsOf: () => 500 };
+      const time = { now: 0, wall: 100, times: new RunTimes() };
       planStarts(waiting, sessions, policy, time);
       return performance.now() - startedAt;
     }).sort((a, b) => a - b);
--- a/sim/world.ts
+++ b/sim/world.ts
@@ -60,6 +60,8 @@
   readonly seed: number;
   readonly entries: number;
   readonly hostsPerPool: number;
+  /** Run time of tasks by the caller's estimate; 1 when left out. */
+  readonly workFactor?: number;
 }
 
 interface ModelHost {
@@ -271,7 +273,8 @@
     const step: StepSpec | undefined = spec?.steps[parsed?.ref.step ?? -1];
     if (spec === undefined || step === undefined) return undefined;
     const noise = seededRandom(hashText(`${this.options.seed} ${task}`));
-    const workMs = step.estimateMs * (0.5 + noise());
+    const factor = this.options.workFactor ?? 1;
+    const workMs = factor * step.estimateMs * (0.5 + noise());
     const poison = spec.payload === "poison";
     const failures = Math.floor(noise() * 1.3);
     return { step, workMs, fails: (run) => poison || run <= failures };
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -19,6 +19,7 @@
 import type { EndpointSession } from "./endpoint_session.ts";
 import type { BookedJob } from "./job_book.ts";
 import { addResources, roomOf } from "./place.ts";
+import type { RunTimes } from "./run_times.ts";
 
 /** Share of a host that can be filled, as tasks leave gaps. */
 const fillShare = 0.85;
@@ -41,9 +42,6 @@
 /** Arrivals in the window that make a rate; fewer are single jobs. */
 const minArrivals = 3;
 
-/** Weight of the newest run in the mean run time of a queue. */
-const runTimeWeight = 0.1;
-
 const nothing: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
 interface Arrival {
@@ -51,34 +49,28 @@
   readonly queue: string;
   /** Thousandths of a core times ms. */
   readonly work: number;
+  /** Longest expected run time of its tasks, in ms. */
+  readonly longestMs: number;
 }
 
-/** Work that arrives, by what tasks of the queue have taken so far. */
+/** Work that arrives, by how long tasks are expected to run. */
 export class ArrivalRate {
   #arrivals: Arrival[] = [];
-  /** Mean time that tasks of a queue have run, in ms. */
-  readonly #runMs = new Map<string, number>();
+
+  constructor(private readonly times: RunTimes) {}
 
   /** Notes a job that has just been accepted. */
   arrived(spec: JobSpec, now: number): void {
-    const runMs = this.#runMs.get(spec.queue);
-    const work = spec.steps.reduce((sum, step) => {
-      if (step.longRunning || step.filler) return sum;
-      const each = runMs ?? step.estimateMs;
-      return sum + step.count * step.demand.cpuMillis * each;
-    }, 0);
-    this.#arrivals.push({ at: now, queue: spec.queue, work });
-  }
-
-  /** Notes how long a task took. */
-  ran(queue: string, ms: number): void {
-    const known = this.#runMs.get(queue) ?? ms;
-    this.#runMs.set(queue, known + (ms - known) * runTimeWeight);
-  }
-
-  /** Mean run time of a queue's tasks in ms; undefined before the first. */
-  runMs(queue: string): number | undefined {
-    return this.#runMs.get(queue);
+    const { queue } = spec;
+    let work = 0;
+    let longestMs = 0;
+    for (const step of spec.steps) {
+      if (step.longRunning || step.filler) continue;
+      const each = this.times.expectedMs(queue, step);
+      work += step.count * step.demand.cpuMillis * each;
+      longestMs = Math.max(longestMs, each);
+    }
+    this.#arrivals.push({ at: now, queue, work, longestMs });
   }
 
   /**
@@ -95,14 +87,13 @@
   }
 
   #rateOf(queue: string, now: number): number {
-    const runMs = this.#runMs.get(queue) ?? 0;
+    const arrivals = this.#arrivals.filter((a) => a.queue === queue);
+    const longestMs = Math.max(...arrivals.map((a) => a.longestMs));
     const window = Math.min(
       maxArrivalWindowMs,
-      Math.max(arrivalWindowMs, runMs),
-    );
-    const recent = this.#arrivals.filter((a) =>
-      a.queue === queue && now - a.at <= window
+      Math.max(arrivalWindowMs, longestMs),
     );
+    const recent = arrivals.filter((a) => now - a.at <= window);
     if (recent.length < minArrivals) return 0;
     return recent.reduce((sum, a) => sum + a.work, 0) / window;
   }
--- a/src/scheduler/demand_reporter.ts
+++ b/src/scheduler/demand_reporter.ts
@@ -13,6 +13,7 @@
 import { HostOffers } from "./host_offers.ts";
 import type { BookedJob } from "./job_book.ts";
 import { onTimeTier, rankOf } from "./order.ts";
+import type { RunTimes } from "./run_times.ts";
 
 /** Least time between two writes of the demand, in ms. */
 const demandPeriodMs = 180;
@@ -28,6 +29,7 @@
   readonly shard: string;
   readonly clock: Clock;
   readonly log: DecisionLog;
+  readonly times: RunTimes;
   /** Writes a row with the next commit, and calls back once it is stored. */
   readonly write: (row: RowPut, stored: () => void) => void;
 }
@@ -35,14 +37,16 @@
 /** Reports the demand of one shard. */
 export class DemandReporter {
   readonly offers = new HostOffers();
-  readonly #arrivals = new ArrivalRate();
+  readonly #arrivals: ArrivalRate;
   #written = "";
   #writtenAt = -Infinity;
   #want = 0;
   /** Steady time since which endpoints are offered without a break. */
   #offeringSince: number | undefined;
 
-  constructor(private readonly parts: DemandParts) {}
+  constructor(private readonly parts: DemandParts) {
+    this.#arrivals = new ArrivalRate(parts.times);
+  }
 
   /** Withdraws what an earlier owner offered; `value` is the stored row's. */
   inherit(value: string): void {
@@ -62,16 +66,6 @@
     return this.#arrivals.cpuMillis(this.parts.clock.now()) === 0;
   }
 
-  /** Notes how long a task of a queue took. */
-  ran(queue: string, ms: number): void {
-    this.#arrivals.ran(queue, ms);
-  }
-
-  /** Mean run time of a queue's tasks in ms; undefined before the first. */
-  runMs(queue: string): number | undefined {
-    return this.#arrivals.runMs(queue);
-  }
-
   /** Works out the demand, and writes it when it has changed. */
   report(
     jobs: readonly BookedJob[],
@@ -108,7 +102,7 @@
       const tasks = progress.open.get(occurrence);
       const rank = rankOf(spec, occurrence, {
         now: wall,
-        runMs: this.runMs(spec.queue),
+        expectedMs: (step) => this.parts.times.expectedMs(spec.queue, step),
         isDone: (step) => tasks !== undefined && isStepDone(tasks, step),
       });
       return rank.tier > onTimeTier;
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -207,7 +207,7 @@
       payload: spec.payload,
       phase,
       changedAt: now,
-      startedAt: now,
+      begunAt: undefined,
       stoppedAt: undefined,
       percent: -1,
       progressedAt: now,
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -52,8 +52,11 @@
   phase: RunPhase;
   /** Steady time of the last change of the phase. */
   changedAt: number;
-  /** Steady time at which the run was intended. */
-  readonly startedAt: number;
+  /**
+   * Steady time at which its start was sent; undefined for a run that an
+   * earlier owner started or that resumed from a checkpoint.
+   */
+  begunAt: number | undefined;
   /** Steady time at which a stop was confirmed. */
   stoppedAt: number | undefined;
   percent: number;
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -9,8 +9,8 @@
  * long-running tasks, which earn as long as they run, before the others of
  * their priority.
  *
- * Callers' estimates are far off, so the run time of a step is taken from
- * what tasks of its queue have taken, where that is known.
+ * Callers' estimates are far off, so the caller of this module says how long
+ * a step's tasks are expected to run.
  */
 import {
   dueAt,
@@ -55,8 +55,8 @@
 export interface RankView {
   /** Wall-clock time in ms. */
   readonly now: number;
-  /** Expected run time of a task of the queue in ms; undefined: not known. */
-  readonly runMs: number | undefined;
+  /** Expected run time of a task of a step in ms. */
+  readonly expectedMs: (step: StepSpec) => number;
   /** Whether a step of the occurrence is done. */
   readonly isDone: (step: number) => boolean;
 }
@@ -65,18 +65,17 @@
 export function rankOf(
   spec: JobSpec,
   occurrence: number,
-  { now, runMs, isDone }: RankView,
+  { now, expectedMs, isDone }: RankView,
 ): Rank {
   const { priority } = spec;
   const begins = spec.schedule === undefined
     ? spec.acceptedAt
     : dueAt(spec, occurrence);
   if (isLongRunning(spec)) return { priority, tier: 0, deadline: begins };
-  const timeOf: StepTime = (step) => runMs ?? step.estimateMs;
-  const whole = longestChainMs(spec.steps, timeOf);
+  const whole = longestChainMs(spec.steps, expectedMs);
   const left = longestChainMs(
     spec.steps,
-    (step, i) => isDone(i) ? 0 : timeOf(step, i),
+    (step, i) => isDone(i) ? 0 : expectedMs(step),
   );
   const objective = spec.sloMs + spec.stretch * whole;
   const onTime = begins + objective - left;
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -15,6 +15,7 @@
 import type { EndpointSession } from "./endpoint_session.ts";
 import { compareRanks, rankOf, type WaitingTask } from "./order.ts";
 import { addResources, type Candidate, choosePlace, roomOf } from "./place.ts";
+import type { RunTimes } from "./run_times.ts";
 import { degree, mayGetWork } from "./suspicion.ts";
 
 /** A task and the endpoint that it goes to. */
@@ -30,8 +31,8 @@
   readonly now: number;
   /** Wall-clock time in ms. */
   readonly wall: number;
-  /** Mean run time of a queue's tasks in ms, where it is known. */
-  readonly runMsOf: (queue: string) => number | undefined;
+  /** Expected run times. */
+  readonly times: RunTimes;
 }
 
 /** Which endpoints may get which work, besides what their sessions say. */
@@ -90,7 +91,7 @@
 function waitingTasks(
   jobs: Iterable<BookedJob>,
   wall: number,
-  runMsOf: (queue: string) => number | undefined,
+  times: RunTimes,
 ): readonly (WaitingTask & { readonly job: BookedJob })[] {
   const waiting: (WaitingTask & { readonly job: BookedJob })[] = [];
   for (const job of jobs) {
@@ -100,7 +101,7 @@
       const known = ranks.get(ref.occurrence);
       const rank = known ?? rankOf(spec, ref.occurrence, {
         now: wall,
-        runMs: runMsOf(spec.queue),
+        expectedMs: (step) => times.expectedMs(spec.queue, step),
         isDone: (step) => {
           const tasks = job.progress.open.get(ref.occurrence);
           return tasks !== undefined && isStepDone(tasks, step);
@@ -196,11 +197,11 @@
   jobs: Iterable<BookedJob>,
   sessions: Iterable<EndpointSession>,
   policy: EndpointPolicy,
-  { now, wall, runMsOf }: PlanTime,
+  { now, wall, times }: PlanTime,
 ): readonly PlannedTask[] {
   const slots = openSlots(sessions, policy, now);
   if (slots.length === 0) return [];
-  const waiting = waitingTasks(jobs, wall, runMsOf);
+  const waiting = waitingTasks(jobs, wall, times);
   const planned: PlannedTask[] = [];
   const gangs = new Set<string>();
   let misses = 0;
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -43,6 +43,7 @@
       return;
     }
     this.#setPhase(run, "starting");
+    if (run.checkpoint === "") run.begunAt = clock.now();
     const outcome = await orders.start(session.endpoint, {
       term: lease.term,
       task: run.name,
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -44,6 +44,7 @@
 import { type BookedJob, JobBook } from "./job_book.ts";
 import type { ShardParts } from "./shard_parts.ts";
 import { planStarts } from "./planner.ts";
+import { RunTimes } from "./run_times.ts";
 
 /** How long a poll of the inbox waits for a new job, in ms. */
 const inboxWaitMs = 1_000;
@@ -80,6 +81,7 @@
   #counts = "";
   #countsAt = -Infinity;
   readonly #demand: DemandReporter;
+  readonly #times = new RunTimes();
   #stopped = false;
 
   constructor(private readonly parts: ShardParts) {
@@ -96,6 +98,7 @@
     }, (failure) => this.#commitFailed(failure));
     this.#demand = new DemandReporter({
       ...parts,
+      times: this.#times,
       write: (row, stored) => {
         this.commits.put(row);
         this.commits.then(stored);
@@ -250,8 +253,7 @@
         vacating.has(id) || this.#demand.offers.isClosed(id, now),
       isUnsettled: (id: string) => this.#demand.offers.isUnsettled(id, now),
     };
-    const runMsOf = (queue: string) => this.#demand.runMs(queue);
-    const time = { now, wall: clock.wall(), runMsOf };
+    const time = { now, wall: clock.wall(), times: this.#times };
     const planned = planStarts(jobs, this.driver.sessions(), policy, time);
     // Gang members share a run, so numbers are drawn before any is placed.
     const runs = planned.map(({ job, ref }) =>
@@ -271,6 +273,7 @@
     const progress = placeTask(job.progress, ref, placement);
     this.book.update(job, progress, clock.now());
     const checkpoint = taskAt(progress, ref)?.checkpoint ?? "";
+    const step = job.spec.steps[ref.step];
     log.decision("task-placed", {
       job: job.spec.id,
       task: taskName(job.spec.id, ref),
@@ -279,6 +282,7 @@
       shard,
       term: lease.term,
       ageMs: Math.round(clock.wall() - job.spec.acceptedAt),
+      expectedMs: Math.round(this.#times.expectedMs(job.spec.queue, step)),
     });
     const started = this.driver.intend(session, job.spec, ref, run, checkpoint);
     this.commits.then(() => this.driver.runs.start(session, started));
@@ -303,6 +307,7 @@
   }
 
   #runEnded(run: Run, end: RunEnd, checkpoint: string): void {
+    if (end === "done") this.#learn(run);
     this.#applyEnd(
       run.job,
       run.ref,
@@ -312,21 +317,24 @@
     );
   }
 
+  /** Learns from a run how long tasks of its queue take. */
+  #learn({ job, step, begunAt }: Run): void {
+    const queue = this.book.jobs.get(job)?.spec.queue;
+    if (queue === undefined || begunAt === undefined) return;
+    this.#times.ran(queue, step, this.parts.clock.now() - begunAt);
+  }
+
   #applyEnd(
     id: string,
     ref: TaskRef,
     run: number,
     end: RunEnd,
     checkpoint: string,
-    ranMs?: number,
   ): void {
     const job = this.book.jobs.get(id);
     if (job === undefined) return;
     const { clock, log, shard } = this.parts;
     const placed = taskAt(job.progress, ref)?.placement;
-    if (end === "done" && ranMs !== undefined) {
-      this.#demand.ran(job.spec.queue, ranMs);
-    }
     if (end === "failed" && placed?.run === run) {
       this.book.noteFailure(job, ref, placed.endpoint);
     }
--- a/test/scheduler/endpoint_session_test.ts
+++ b/test/scheduler/endpoint_session_test.ts
@@ -29,7 +29,7 @@
     payload: "",
     phase,
     changedAt: 100,
-    startedAt: 100,
+    begunAt: 100,
     stoppedAt: undefined,
     percent: 0,
     progressedAt: 100,
--- a/test/scheduler/order_test.ts
+++ b/test/scheduler/order_test.ts
@@ -7,7 +7,7 @@
 const job = jobOf(1, "chain", "quotes", 0);
 
 function rankAt(now: number, isDone = (_: number) => false, spec = job) {
-  return rankOf(spec, 0, { now, runMs: 500, isDone });
+  return rankOf(spec, 0, { now, expectedMs: () => 500, isDone });
 }
 
 describe("the order of waiting tasks", () => {
--- /dev/null
+++ b/test/scheduler/run_times_test.ts
@@ -0,0 +1,56 @@
+/** Expected run times where callers' estimates are far off. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { plainStep } from "../../sim/jobs.ts";
+import { seededRandom } from "../../sim/random.ts";
+import { RunTimes } from "../../src/scheduler/index.ts";
+
+const queue = "quotes";
+
+function stepOf(estimateMs: number) {
+  return { ...plainStep(4, []), estimateMs };
+}
+
+/** A value near 1, spread by `spread` in its logarithm. */
+function noise(random: () => number, spread: number): number {
+  return Math.exp((random() + random() + random() - 1.5) * 2 * spread);
+}
+
+describe("expected run times", () => {
+  it("are the estimates before anything has run", () => {
+    assert.equal(new RunTimes().expectedMs(queue, stepOf(700)), 700);
+  });
+
+  describe("when estimates are off by a constant factor", () => {
+    it("follow the estimate times the factor", () => {
+      const times = new RunTimes();
+      const random = seededRandom(1);
+      for (let i = 0; i < 200; i++) {
+        const workMs = 1_000 * noise(random, 0.6);
+        times.ran(queue, stepOf(workMs / 3), workMs);
+      }
+      const expected = times.expectedMs(queue, stepOf(1_000));
+      assert.ok(Math.abs(expected - 3_000) < 300, `${expected}`);
+    });
+  });
+
+  describe("when estimates say nothing", () => {
+    it("follow what the queue's tasks have taken", () => {
+      const times = new RunTimes();
+      const random = seededRandom(2);
+      for (let i = 0; i < 400; i++) {
+        const workMs = 1_000 * noise(random, 0.1);
+        times.ran(queue, stepOf(500 * noise(random, 1.2)), workMs);
+      }
+      const short = times.expectedMs(queue, stepOf(100));
+      const long = times.expectedMs(queue, stepOf(5_000));
+      assert.ok(short > 800 && long < 1_250, `${short} to ${long}`);
+    });
+  });
+
+  it("of one queue say nothing of another", () => {
+    const times = new RunTimes();
+    for (let i = 0; i < 50; i++) times.ran(queue, stepOf(100), 900);
+    assert.equal(times.expectedMs("invoices", stepOf(100)), 100);
+  });
+});
