--- a/sim/world.ts
+++ b/sim/world.ts
@@ -137,7 +137,12 @@
     });
     const registry = new EndpointRegistry();
     const service = new BatchService({
-      self: { entry: name, boot: `${name}#${++this.#boots}`, zone: "zone" },
+      self: {
+        entry: name,
+        boot: `${name}#${++this.#boots}`,
+        zone: "zone",
+        cores: 1,
+      },
       store,
       orders,
       control: this.#control(process),
--- a/src/cluster/members.ts
+++ b/src/cluster/members.ts
@@ -23,6 +23,9 @@
  */
 const readGapMs = 1_000;
 
+/** Least processor of a member, in cores, so that shares stay finite. */
+const minCores = 0.001;
+
 export const memberSchema = v.object({
   entry: v.string(),
   /** Identifies one process start. */
@@ -32,6 +35,8 @@
   shards: v.array(v.string()),
   /** Whether it takes further shards. */
   accepting: v.boolean(),
+  /** Processor that it may use, in cores; rows of older releases lack it. */
+  cores: v.optional(v.pipe(v.number(), v.minValue(minCores)), 1),
 });
 
 /** One process as it describes itself. */
--- a/src/service/entry_parts.ts
+++ b/src/service/entry_parts.ts
@@ -7,9 +7,15 @@
 import type { Store } from "../store/index.ts";
 import type { HostControl, WaveBoard } from "../upkeep/index.ts";
 
+/** What an entry says of itself; `cores` is the processor it may use. */
+export interface EntryIdentity extends Holder {
+  readonly zone: string;
+  readonly cores: number;
+}
+
 /** The outside of an entry, and its identity. */
 export interface EntryParts {
-  readonly self: Holder & { readonly zone: string };
+  readonly self: EntryIdentity;
   readonly store: Store;
   readonly orders: TaskOrders;
   readonly control: HostControl;
--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -156,9 +156,8 @@
   }
 
   #describe(): Member {
-    const { entry, boot, zone } = this.parts.self;
     const shards = [...this.#owned.keys()];
-    return { entry, boot, zone, shards, accepting: !this.#stopping };
+    return { ...this.parts.self, shards, accepting: !this.#stopping };
   }
 
   #claim(): void {
--- a/src/settings/batch_settings.ts
+++ b/src/settings/batch_settings.ts
@@ -11,13 +11,25 @@
   whole,
 } from "./settings.ts";
 
+const positive = v.optional(
+  v.pipe(v.number("a number"), v.gtValue(0, "above 0")),
+  1,
+);
+
 const optionalAddress = v.optional(
   v.union([v.literal(""), address], "an address or nothing"),
   "",
 );
 
 export const batchSettingsSchema = v.strictObject({
-  entry: v.strictObject({ id, zone: id }, section),
+  entry: v.strictObject({
+    id,
+    zone: id,
+    /** Cores of the host. */
+    cores: positive,
+    /** Share of each core that the process may use. */
+    core_share: positive,
+  }, section),
   listen: v.strictObject({
     /** Where callers submit jobs. */
     callers: address,
--- a/test/cluster/shard_lease_test.ts
+++ b/test/cluster/shard_lease_test.ts
@@ -95,13 +95,18 @@
   });
 });
 
-function member(entry: string, shards: readonly string[]): Member {
+function member(
+  entry: string,
+  shards: readonly string[],
+  cores = 1,
+): Member {
   return {
     entry,
     boot: `${entry}#1`,
     zone: "z",
     shards: [...shards],
     accepting: true,
+    cores,
   };
 }
 
@@ -136,6 +141,29 @@
     assert.deepEqual([...assignShards(["s1", "s2"], members)], [["s2", "b"]]);
   });
 
+  describe("among entries of different sizes", () => {
+    // Two large entries and many small ones, as on a grown site.
+    const large = [member("l1", [], 1.35), member("l2", [], 1.35)];
+    const small = [member("s1", [], 0.324), member("s2", [], 0.324)];
+
+    it("fills the large ones before a small one takes any", () => {
+      const shards = ["a", "b", "c", "d", "e"];
+      const assigned = assignShards(shards, [...small, ...large]);
+      const holders = new Set(assigned.values());
+      assert.deepEqual([...holders].sort(), ["l1", "l2"]);
+    });
+
+    it("moves a shard from a small one to a large one that is free", () => {
+      const members = [member("s1", ["a"], 0.324), ...large];
+      assert.equal(shardToRelease("s1", members), "a");
+    });
+
+    it("leaves a large one its two while only small ones are free", () => {
+      const members = [member("l1", ["a", "b"], 1.35), ...small];
+      assert.equal(shardToRelease("l1", members), undefined);
+    });
+  });
+
   it("releases one only for a member with at least two fewer", () => {
     const one = [member("a", ["s1"]), member("b", [])];
     const two = [member("a", ["s1", "s2"]), member("b", [])];
