Commit in batches that the store takes, oldest rows first

Besides, what waited for a commit (starts, end numbers) fired only once nothing at all was dirty, so a backlog that new rows kept above one batch stopped all starts.

Now a batch is bounded by bytes too, takes the rows that have been dirty longest, and an action waits only for the rows that were dirty when it was given. Rows of the owner itself (demand, counts) go first.

Tests first: test/scheduler/commit_queue_test.ts; the model's store refuses what is too large as the platform's does.

--- a/sim/model_store.ts
+++ b/sim/model_store.ts
@@ -27,6 +27,10 @@
 /** Latest time after a lost call at which it may take effect, in ms. */
 const lateMs = 5_000;
 
+/** Largest transaction, in entries and in bytes of its base64 values. */
+const maxEntries = 100;
+const maxBytes = 1_000_000;
+
 /** What the store does to the calls of a process. */
 export type StoreMood = "serves" | "refuses" | "silent";
 
@@ -34,6 +38,12 @@
   return `${table}\n${partition}\n${key}`;
 }
 
+function isTooLarge({ checks, puts, removes }: Transaction): boolean {
+  const values = puts.reduce((sum, put) => sum + put.value.length, 0);
+  return checks.length + puts.length + removes.length > maxEntries ||
+    values * 4 / 3 > maxBytes;
+}
+
 /** The store, shared by all processes. */
 export class ModelStore {
   readonly #rows = new Map<string, Row>();
@@ -121,6 +131,7 @@
   }
 
   async #commit(tx: Transaction): Promise<Result<CommitOutcome, StoreFailure>> {
+    if (isTooLarge(tx)) return Err({ kind: "refused", message: "too large" });
     await this.#wait(transactionMs * this.slowness);
     if (this.random() < this.lostShare) {
       const late = this.random() < 0.5 ? this.random() * lateMs : 0;
--- a/src/scheduler/commit_queue.ts
+++ b/src/scheduler/commit_queue.ts
@@ -2,9 +2,11 @@
  * Group commit of one shard: while a transaction is on its way the next batch
  * gathers. What depends on a batch happens only after the store confirmed it.
  */
+import { Buffer } from "node:buffer";
 import { type Clock, delay } from "../clock/index.ts";
 import type { CommitFailure, ShardLease } from "../cluster/index.ts";
 import {
+  maxTransactionBytes,
   maxTransactionEntries,
   type RowKey,
   type RowPut,
@@ -29,9 +31,29 @@
   put(key: string): RowPut | undefined;
 }
 
-/** Commits a shard's rows one batch at a time. */
+/** An action that waits for rows that were dirty when it was given. */
+interface Waiting {
+  readonly action: () => void;
+  /** How many of these rows may not be committed yet. */
+  rows: number;
+}
+
+/** One transaction's worth of rows. */
+interface Batch {
+  /** Keys of the source whose rows are among `puts`. */
+  readonly keys: readonly string[];
+  readonly puts: readonly RowPut[];
+  readonly extra: readonly RowPut[];
+  readonly removes: readonly RowKey[];
+}
+
+/**
+ * Commits a shard's rows one batch at a time, those first that have been
+ * dirty longest. So what waits for some rows does not wait for others that
+ * have become dirty since, however long the backlog is.
+ */
 export class CommitQueue {
-  #after: (() => void)[] = [];
+  #after: Waiting[] = [];
   #extraPuts = new Map<string, RowPut>();
   #removes = new Map<string, RowKey>();
   #isRunning = false;
@@ -58,7 +80,7 @@
 
   /** Calls `action` once all that is dirty now has been committed. */
   then(action: () => void): void {
-    this.#after.push(action);
+    this.#after.push({ action, rows: this.source.dirty.size });
     this.flush();
   }
 
@@ -103,28 +125,50 @@
   }
 
   async #commitBatch(): Promise<boolean> {
-    const { source } = this;
-    const keys = [...source.dirty].slice(0, maxRows);
-    const room = maxRows - keys.length;
-    const extra = [...this.#extraPuts.values()].slice(0, room);
-    const removes = [...this.#removes.values()].slice(0, room - extra.length);
-    const isWhole = keys.length === source.dirty.size;
-    const after = isWhole ? this.#after : [];
-    if (isWhole) this.#after = [];
-    for (const key of keys) source.dirty.delete(key);
-    const puts = keys.map((key) => source.put(key)).filter((p) => !!p);
-    const done = await this.lease.commit([...puts, ...extra], removes);
+    const { dirty } = this.source;
+    const batch = this.#takeBatch();
+    const { keys, puts, extra, removes } = batch;
+    // What is given from here on waits for a later transaction.
+    const waiting = this.#after;
+    this.#after = [];
+    const done = await this.lease.commit([...extra, ...puts], removes);
     if (done.err) {
-      for (const key of keys) source.dirty.add(key);
-      this.#after = [...after, ...this.#after];
+      for (const key of keys) dirty.add(key);
+      this.#after = [...waiting, ...this.#after];
+      for (const each of this.#after) each.rows = dirty.size;
       this.failed(done.val);
       return false;
     }
     this.#forget(extra, removes);
-    for (const action of after) action();
+    for (const each of waiting) each.rows -= keys.length;
+    const late = waiting.filter((each) => each.rows > 0);
+    this.#after = [...late, ...this.#after];
+    for (const { action, rows } of waiting) if (rows <= 0) action();
     return true;
   }
 
+  /** As many rows as one transaction holds; at least one that is dirty. */
+  #takeBatch(): Batch {
+    const { source } = this;
+    const extra = [...this.#extraPuts.values()].slice(0, maxRows - 1);
+    const keys: string[] = [];
+    const puts: RowPut[] = [];
+    let bytes = 0;
+    for (const key of source.dirty) {
+      if (extra.length + puts.length >= maxRows) break;
+      const row = source.put(key);
+      const size = row === undefined ? 0 : Buffer.byteLength(row.value);
+      if (puts.length > 0 && bytes + size > maxTransactionBytes) break;
+      bytes += size;
+      keys.push(key);
+      if (row !== undefined) puts.push(row);
+    }
+    for (const key of keys) source.dirty.delete(key);
+    const room = maxRows - extra.length - puts.length;
+    const removes = [...this.#removes.values()].slice(0, room);
+    return { keys, puts, extra, removes };
+  }
+
   #forget(puts: readonly RowPut[], removes: readonly RowKey[]): void {
     for (const row of puts) {
       const key = `${row.table}\n${row.key}`;
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -1,4 +1,5 @@
 /** Placement of tasks on endpoints, and the owner of a shard around it. */
+export { CommitQueue } from "./commit_queue.ts";
 export type { DecisionFields, DecisionLog } from "./decision_log.ts";
 export { EndpointSession, type Run, taskLeaseMs } from "./endpoint_session.ts";
 export { type BookedJob, JobBook } from "./job_book.ts";
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -40,6 +40,12 @@
 /** Most entries (checks, puts and removes) of one transaction. */
 export const maxTransactionEntries = 100;
 
+/**
+ * Most bytes of the values in one transaction. The platform takes 1 MB of
+ * body, in which values stand as base64 (4/3) beside the keys.
+ */
+export const maxTransactionBytes = 700_000;
+
 /** Outcome of a transaction that the store has answered. */
 export type CommitOutcome =
   | { readonly kind: "committed"; readonly version: number }
--- /dev/null
+++ b/test/scheduler/commit_queue_test.ts
@@ -0,0 +1,95 @@
+/** Group commit of a shard whose backlog is larger than a transaction. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { ModelStore } from "../../sim/model_store.ts";
+import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
+import { readOwner, ShardLease } from "../../src/cluster/index.ts";
+import { CommitQueue } from "../../src/scheduler/index.ts";
+import { maxTransactionBytes } from "../../src/store/index.ts";
+
+const shard = "s";
+
+/** A queue over `count` dirty rows of `bytes` each. */
+async function setUp(count: number, bytes: number) {
+  const clock = new VirtualClock();
+  const model = new ModelStore(clock, () => 1);
+  const store = model.connect("a", new ProcessClock(clock));
+  const acquired = readOwner(store, shard).then((row) =>
+    ShardLease.acquire(
+      store,
+      clock,
+      shard,
+      { entry: "a", boot: "a#1" },
+      row.unwrap(),
+    )
+  );
+  await clock.advance(100);
+  await clock.advance(100);
+  const lease = await acquired;
+  assert.ok(lease);
+  const failures: string[] = [];
+  const dirty = new Set(Array.from({ length: count }, (_, i) => `job-${i}`));
+  const value = "x".repeat(bytes);
+  const put = (key: string) => ({ table: "t", partition: shard, key, value });
+  const queue = new CommitQueue(
+    lease,
+    clock,
+    { dirty, put },
+    (failure) => failures.push(failure.message),
+  );
+  const pass = async (ms: number) => {
+    for (let left = ms; left > 0; left -= 10) {
+      await clock.advance(10);
+      await clock.flush();
+    }
+  };
+  return { queue, model, dirty, failures, pass };
+}
+
+describe("a shard's commits", () => {
+  describe("in an overload that leaves many long rows dirty", () => {
+    it("go in several transactions that the store takes", async () => {
+      const bytes = 20_000;
+      const count = Math.ceil(3 * maxTransactionBytes / bytes);
+      const { queue, model, failures, pass } = await setUp(count, bytes);
+      let stored = 0;
+      queue.then(() => stored = model.table("t").length);
+      await pass(1_000);
+      assert.deepEqual(failures, []);
+      assert.equal(stored, count);
+    });
+
+    it("don't keep what waits for them until the backlog is over", async () => {
+      const { queue, dirty, pass } = await setUp(250, 10);
+      let done = false;
+      queue.then(() => done = true);
+      for (let i = 0; i < 60 && !done; i++) {
+        for (let n = 0; n < 100; n++) dirty.add(`later-${i}-${n}`);
+        await pass(10);
+      }
+      assert.ok(done);
+      assert.ok(dirty.size > 100, `${dirty.size} rows are left`);
+    });
+
+    it("hold back what waits for them while they fail", async () => {
+      const { queue, model, pass } = await setUp(3, 10);
+      let stored = -1;
+      model.setMood("a", "refuses");
+      queue.then(() => stored = model.table("t").length);
+      await pass(300);
+      assert.equal(stored, -1);
+      model.setMood("a", "serves");
+      await pass(300);
+      assert.equal(stored, 3);
+    });
+
+    it("of more rows than a transaction holds do so as well", async () => {
+      const { queue, model, failures, pass } = await setUp(250, 10);
+      let stored = 0;
+      queue.then(() => stored = model.table("t").length);
+      await pass(1_000);
+      assert.deepEqual(failures, []);
+      assert.equal(stored, 250);
+    });
+  });
+});
