Put off jobs that can't be on time together; hand learned run times on

Now the work due by each deadline is added up, and where it exceeds what the pool's open endpoints can do the job of least benefit for the work left is put behind those on time (Moore and Hodgson, weighted); a lot that each id draws keeps the largest jobs on time at least half as often as all. Nothing is refused or dropped: who is put off waits as late jobs do.

Tests: test/scheduler/feasible_test.ts (surge to three times the capacity), test/sim/learned_times_test.ts.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -63,7 +63,12 @@
     const sessions = Array.from({ length: endpoints }, (_, i) => session(i));
     const times = Array.from({ length: repetitions }, () => {
       const startedAt = performance.now();
-      const time = { now: 0, wall: 100, times: new RunTimes() };
+      const time = {
+        now: 0,
+        wall: 100,
+        times: new RunTimes(),
+        putOff: new Set<string>(),
+      };
       planStarts(waiting, sessions, policy, time);
       return performance.now() - startedAt;
     }).sort((a, b) => a - b);
--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -48,6 +48,11 @@
   return { table: "counts", partition: shard, key: "waiting" };
 }
 
+/** Row with the run times that a shard's owner has learned. */
+export function learnedKey(shard: string): RowKey {
+  return { table: "learned", partition: shard, key: "run-times" };
+}
+
 /** Waiting jobs by queue. */
 export const countsSchema = v.record(v.string(), v.number());
 
--- a/src/cluster/assignment.ts
+++ b/src/cluster/assignment.ts
@@ -4,13 +4,12 @@
  * Entries differ in size, and an owner that lacks processor time falls behind
  * with its leases. So shards go by the processor that a member has for each.
  */
-import { createHash } from "node:crypto";
+import { hash32 } from "../hash.ts";
 import type { Member } from "./members.ts";
 
 /** Rendezvous weight of a member for a shard. */
 function weight(shard: string, entry: string): number {
-  return createHash("sha256").update(`${shard}\n${entry}`).digest()
-    .readUInt32BE(0);
+  return hash32(`${shard}\n${entry}`);
 }
 
 /** Shards a core once the member has taken one more. */
--- a/src/scheduler/demand_reporter.ts
+++ b/src/scheduler/demand_reporter.ts
@@ -1,5 +1,5 @@
 /** Tells the fleet's owner how many hosts a shard wants, and which it offers. */
-import { isStepDone, type JobSpec } from "../batch/index.ts";
+import type { JobSpec } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import { parseJson, type RowPut } from "../store/index.ts";
 import {
@@ -12,7 +12,8 @@
 import type { EndpointSession } from "./endpoint_session.ts";
 import { HostOffers } from "./host_offers.ts";
 import type { BookedJob } from "./job_book.ts";
-import { onTimeTier, rankOf } from "./order.ts";
+import { rankOfJob } from "./job_rank.ts";
+import { onTimeTier } from "./order.ts";
 import type { RunTimes } from "./run_times.ts";
 
 /** Least time between two writes of the demand, in ms. */
@@ -98,15 +99,8 @@
     const since = this.#offeringSince;
     if (since !== undefined && now - since > untakenMs) return () => false;
     const wall = this.parts.clock.wall();
-    return ({ spec, progress }, occurrence) => {
-      const tasks = progress.open.get(occurrence);
-      const rank = rankOf(spec, occurrence, {
-        now: wall,
-        expectedMs: (step) => this.parts.times.expectedMs(spec.queue, step),
-        isDone: (step) => tasks !== undefined && isStepDone(tasks, step),
-      });
-      return rank.tier > onTimeTier;
-    };
+    return (job, occurrence) =>
+      rankOfJob(job, occurrence, wall, this.parts.times).tier > onTimeTier;
   }
 
   #tell(
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -84,6 +84,19 @@
 
 const nothing: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
 
+/**
+ * Processor that an endpoint has for work that ends, in thousandths of a core;
+ * 0 while it takes no tasks.
+ */
+export function roomForJobs(session: EndpointSession): number {
+  if (!session.isOpen) return 0;
+  let room = session.endpoint.capacity.cpuMillis;
+  for (const { step } of session.runs.values()) {
+    if (step.longRunning) room -= roomOf(step).cpuMillis;
+  }
+  return Math.max(0, room);
+}
+
 /** One life of one endpoint. */
 export class EndpointSession {
   readonly runs = new Map<string, Run>();
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -2,8 +2,10 @@
 export { CommitQueue } from "./commit_queue.ts";
 export type { DecisionFields, DecisionLog } from "./decision_log.ts";
 export { EndpointSession, type Run, taskLeaseMs } from "./endpoint_session.ts";
+export { type DueWork, jobsToPutOff } from "./feasible.ts";
 export { type BookedJob, JobBook } from "./job_book.ts";
-export { compareRanks, longestChainMs, rankOf } from "./order.ts";
+export { dueWork } from "./job_rank.ts";
+export { compareRanks, longestChainMs, putOff, rankOf } from "./order.ts";
 export { paceRuns, worstLoad } from "./pace.ts";
 export {
   addResources,
--- a/src/scheduler/job_book.ts
+++ b/src/scheduler/job_book.ts
@@ -19,6 +19,7 @@
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
+import { hash32 } from "../hash.ts";
 import { parseJson, type Row, type RowChange } from "../store/index.ts";
 
 /** A job with its progress. */
@@ -29,6 +30,13 @@
   readonly failedAt: Map<string, Set<string>>;
   /** Steady time at which the job was seen to be final. */
   finalAt: number | undefined;
+  /** Drawn evenly from 0 to 1 by the job's id. */
+  readonly lot: number;
+}
+
+/** A number from 0 to 1 that stays the same for an id. */
+function lotOf(id: string): number {
+  return hash32(id) / 2 ** 32;
 }
 
 /** The jobs of one shard. */
@@ -135,6 +143,7 @@
       progress: found ?? freshProgress,
       failedAt: new Map(),
       finalAt: undefined,
+      lot: lotOf(spec.id),
     };
     this.jobs.set(spec.id, job);
     this.#note(job, now);
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -39,9 +39,15 @@
   return Math.max(0, ...ends);
 }
 
-/** Highest tier of a rank whose job can be on time. */
+/** Tier of a job that can be on time; a lasting one has 0. */
 export const onTimeTier = 1;
 
+/** Tier of a job that can only be late. */
+const lateTier = 2;
+
+/** Tier of a job that brings no benefit any more. */
+const hopelessTier = 3;
+
 /** What decides the order of an occurrence's tasks; lower goes first. */
 export interface Rank {
   readonly priority: number;
@@ -49,6 +55,8 @@
   readonly tier: number;
   /** Wall-clock time by which it has to start, in ms. */
   readonly deadline: number;
+  /** Wall-clock time by which it has to be done to be on time, in ms. */
+  readonly finishBy: number;
 }
 
 /** What a rank is worked out from, besides the job. */
@@ -71,17 +79,28 @@
   const begins = spec.schedule === undefined
     ? spec.acceptedAt
     : dueAt(spec, occurrence);
-  if (isLongRunning(spec)) return { priority, tier: 0, deadline: begins };
+  if (isLongRunning(spec)) {
+    return { priority, tier: 0, deadline: begins, finishBy: Infinity };
+  }
   const whole = longestChainMs(spec.steps, expectedMs);
   const left = longestChainMs(
     spec.steps,
     (step, i) => isDone(i) ? 0 : expectedMs(step),
   );
   const objective = spec.sloMs + spec.stretch * whole;
-  const onTime = begins + objective - left;
-  if (now <= onTime) return { priority, tier: 1, deadline: onTime };
+  const finishBy = begins + objective;
+  const onTime = finishBy - left;
+  if (now <= onTime) {
+    return { priority, tier: onTimeTier, deadline: onTime, finishBy };
+  }
   const late = begins + lateFactor * objective - left;
-  return { priority, tier: now <= late ? 2 : 3, deadline: late };
+  const tier = now <= late ? lateTier : hopelessTier;
+  return { priority, tier, deadline: late, finishBy };
+}
+
+/** The rank of a job that is put off in favour of others. */
+export function putOff(rank: Rank): Rank {
+  return { ...rank, tier: Math.max(rank.tier, lateTier) };
 }
 
 /** Orders ranks. */
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -4,7 +4,6 @@
  * which the caller takes as the plan is carried out.
  */
 import {
-  isStepDone,
   type Resources,
   startableTasks,
   type StepSpec,
@@ -13,7 +12,8 @@
 } from "../batch/index.ts";
 import type { BookedJob } from "./job_book.ts";
 import type { EndpointSession } from "./endpoint_session.ts";
-import { compareRanks, rankOf, type WaitingTask } from "./order.ts";
+import { occurrenceKey, rankOfJob } from "./job_rank.ts";
+import { compareRanks, putOff, type WaitingTask } from "./order.ts";
 import { addResources, type Candidate, choosePlace, roomOf } from "./place.ts";
 import type { RunTimes } from "./run_times.ts";
 import { degree, mayGetWork } from "./suspicion.ts";
@@ -33,6 +33,8 @@
   readonly wall: number;
   /** Expected run times. */
   readonly times: RunTimes;
+  /** Occurrences that are put off in favour of others, by their keys. */
+  readonly putOff: ReadonlySet<string>;
 }
 
 /** Which endpoints may get which work, besides what their sessions say. */
@@ -90,25 +92,19 @@
 
 function waitingTasks(
   jobs: Iterable<BookedJob>,
-  wall: number,
-  times: RunTimes,
+  { wall, times, putOff: isPutOff }: PlanTime,
 ): readonly (WaitingTask & { readonly job: BookedJob })[] {
   const waiting: (WaitingTask & { readonly job: BookedJob })[] = [];
   for (const job of jobs) {
     const { spec } = job;
     const ranks = new Map<number, WaitingTask["rank"]>();
     for (const ref of startableTasks(job.progress, spec)) {
-      const known = ranks.get(ref.occurrence);
-      const rank = known ?? rankOf(spec, ref.occurrence, {
-        now: wall,
-        expectedMs: (step) => times.expectedMs(spec.queue, step),
-        isDone: (step) => {
-          const tasks = job.progress.open.get(ref.occurrence);
-          return tasks !== undefined && isStepDone(tasks, step);
-        },
-      });
-      ranks.set(ref.occurrence, rank);
-      waiting.push({ job, spec, ref, rank });
+      const { occurrence } = ref;
+      const rank = ranks.get(occurrence) ??
+        rankOfJob(job, occurrence, wall, times);
+      ranks.set(occurrence, rank);
+      const later = isPutOff.has(occurrenceKey(spec.id, occurrence));
+      waiting.push({ job, spec, ref, rank: later ? putOff(rank) : rank });
     }
   }
   return waiting.sort((a, b) => compareRanks(a.rank, b.rank));
@@ -197,11 +193,11 @@
   jobs: Iterable<BookedJob>,
   sessions: Iterable<EndpointSession>,
   policy: EndpointPolicy,
-  { now, wall, times }: PlanTime,
+  time: PlanTime,
 ): readonly PlannedTask[] {
-  const slots = openSlots(sessions, policy, now);
+  const slots = openSlots(sessions, policy, time.now);
   if (slots.length === 0) return [];
-  const waiting = waitingTasks(jobs, wall, times);
+  const waiting = waitingTasks(jobs, time);
   const planned: PlannedTask[] = [];
   const gangs = new Set<string>();
   let misses = 0;
--- a/src/scheduler/run_times.ts
+++ b/src/scheduler/run_times.ts
@@ -8,8 +8,13 @@
  * queue's mean factor. The two are joined by the inverse of their variances,
  * so a queue whose estimates say little goes by its history, and one whose
  * estimates are good goes by them.
+ *
+ * What was learned is stored, so that the next owner of the shard goes on
+ * with it.
  */
+import * as v from "valibot";
 import type { StepSpec } from "../batch/index.ts";
+import { parseJson } from "../store/index.ts";
 
 /** Runs of a queue before its history counts. */
 const minRuns = 8;
@@ -20,14 +25,49 @@
  */
 const newestWeight = 0.03;
 
+/** Runs after which the memory is full. */
+const fullMemory = Math.ceil(1 / newestWeight);
+
 /** Least variance of a logarithm, so that equal runs leave weights finite. */
 const minVariance = 0.01;
 
+const momentsSchema = v.object({
+  mean: v.number(),
+  variance: v.number(),
+  count: v.number(),
+});
+const learnedSchema = v.record(
+  v.string(),
+  v.object({ run: momentsSchema, factor: momentsSchema }),
+);
+
+type MomentsRow = v.InferOutput<typeof momentsSchema>;
+
+/** Decimal places of stored logarithms; bytes of the store are paid for. */
+const storedPlaces = 3;
+
+function round(value: number): number {
+  return Number(value.toFixed(storedPlaces));
+}
+
 /** Exponentially weighted mean and variance. */
 class Moments {
-  #mean = 0;
-  #variance = 0;
-  #count = 0;
+  #mean: number;
+  #variance: number;
+  #count: number;
+
+  constructor(stored: MomentsRow = { mean: 0, variance: 0, count: 0 }) {
+    this.#mean = stored.mean;
+    this.#variance = stored.variance;
+    this.#count = stored.count;
+  }
+
+  /** The stored form. */
+  get row(): MomentsRow {
+    const count = Math.min(this.#count, fullMemory);
+    const mean = round(this.#mean);
+    return { mean, variance: round(this.#variance), count };
+  }
 
   add(value: number): void {
     this.#count++;
@@ -62,6 +102,24 @@
 export class RunTimes {
   readonly #queues = new Map<string, QueueTimes>();
 
+  /** The stored form of all that was learned. */
+  encode(): string {
+    const row: v.InferOutput<typeof learnedSchema> = {};
+    for (const [queue, { run, factor }] of this.#queues) {
+      row[queue] = { run: run.row, factor: factor.row };
+    }
+    return JSON.stringify(row);
+  }
+
+  /** Goes on with what an earlier owner learned; ignores what it can't read. */
+  load(value: string): void {
+    const row = parseJson(learnedSchema, value) ?? {};
+    for (const [queue, { run, factor }] of Object.entries(row)) {
+      const times = { run: new Moments(run), factor: new Moments(factor) };
+      this.#queues.set(queue, times);
+    }
+  }
+
   /** Notes that a task of the step took `ms` from its start to its end. */
   ran(queue: string, step: StepSpec, ms: number): void {
     if (ms <= 0) return;
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -11,11 +11,11 @@
 import {
   beginJob,
   cancelKey,
-  countsKey,
   endRun,
   inboxKey,
   inboxTable,
   isFinal,
+  learnedKey,
   nextRun,
   onlyKey,
   placedTasks,
@@ -42,7 +42,9 @@
 import { EndpointDriver } from "./endpoint_driver.ts";
 import type { Run } from "./endpoint_session.ts";
 import { type BookedJob, JobBook } from "./job_book.ts";
+import { PutOffList } from "./put_off_list.ts";
 import type { ShardParts } from "./shard_parts.ts";
+import { ShardReports } from "./shard_reports.ts";
 import { planStarts } from "./planner.ts";
 import { RunTimes } from "./run_times.ts";
 
@@ -61,9 +63,6 @@
 /** Longest time without a commit; a commit shows whether the shard is lost. */
 const renewMs = 1_500;
 
-/** Least time between two writes of the waiting counts, in ms. */
-const countsPeriodMs = 700;
-
 /** How long a final job can be asked for, in ms. */
 const keepFinalMs = 150_000;
 
@@ -78,10 +77,10 @@
   #unsubscribe: () => void = () => {};
   #planWanted = false;
   #lastPlanAt = -Infinity;
-  #counts = "";
-  #countsAt = -Infinity;
   readonly #demand: DemandReporter;
   readonly #times = new RunTimes();
+  readonly #putOff: PutOffList;
+  readonly #reports: ShardReports;
   #stopped = false;
 
   constructor(private readonly parts: ShardParts) {
@@ -104,6 +103,11 @@
         this.commits.then(stored);
       },
     });
+    this.#putOff = new PutOffList({ ...parts, times: this.#times });
+    this.#reports = new ShardReports(shard, {
+      counts: () => JSON.stringify(this.book.waiting()),
+      learned: () => this.#times.encode(),
+    });
     this.driver = new EndpointDriver({
       ...parts,
       ended: (run, end, checkpoint) => this.#runEnded(run, end, checkpoint),
@@ -140,14 +144,17 @@
   /** Reads the stored state and starts the loops; false when it can't. */
   async start(): Promise<boolean> {
     const { store, shard, registry } = this.parts;
-    const [stored, demand, isCurrent] = await Promise.all([
+    const [stored, demand, learned, isCurrent] = await Promise.all([
       store.range(progressRange(shard)),
       store.range(onlyKey(demandKey(shard))),
+      store.range(onlyKey(learnedKey(shard))),
       this.parts.refreshVacating(),
     ]);
-    if (stored.err || demand.err || !isCurrent || this.#stopped) return false;
+    if (stored.err || demand.err || learned.err) return false;
+    if (!isCurrent || this.#stopped) return false;
     this.book.loadProgress(stored.val.rows);
     this.#demand.inherit(demand.val.rows[0]?.value ?? "");
+    this.#times.load(learned.val.rows[0]?.value ?? "");
     const read = await this.#inbox.poll(0);
     if (read.err || this.#stopped) return false;
     this.#unsubscribe = registry.onChange(() => this.#refreshEndpoints());
@@ -233,7 +240,7 @@
     this.driver.refresh();
     this.#caretaker.pass();
     this.#expireJobs(now);
-    this.#writeCounts(now);
+    for (const row of this.#reports.due(now)) this.commits.put(row);
     this.#demand.report(this.#activeJobs(), this.driver.sessions());
     if (lease.ageMs > renewMs) this.commits.flush();
     this.wantPlan();
@@ -253,7 +260,12 @@
         vacating.has(id) || this.#demand.offers.isClosed(id, now),
       isUnsettled: (id: string) => this.#demand.offers.isUnsettled(id, now),
     };
-    const time = { now, wall: clock.wall(), times: this.#times };
+    const time = {
+      now,
+      wall: clock.wall(),
+      times: this.#times,
+      putOff: this.#putOff.current(jobs, this.driver.sessions()),
+    };
     const planned = planStarts(jobs, this.driver.sessions(), policy, time);
     // Gang members share a run, so numbers are drawn before any is placed.
     const runs = planned.map(({ job, ref }) =>
@@ -364,15 +376,6 @@
     }
   }
 
-  #writeCounts(now: number): void {
-    if (now - this.#countsAt < countsPeriodMs) return;
-    const value = JSON.stringify(this.book.waiting());
-    if (value === this.#counts) return;
-    this.#counts = value;
-    this.#countsAt = now;
-    this.commits.put({ ...countsKey(this.parts.shard), value });
-  }
-
   #activeJobs(): readonly BookedJob[] {
     return [...this.book.active]
       .map((id) => this.book.jobs.get(id)).filter((job) => job !== undefined);
--- a/src/store/partitions.ts
+++ b/src/store/partitions.ts
@@ -2,7 +2,7 @@
  * Rows that many writers put at the same time are spread over partitions,
  * because a partition carries out its transactions one after another.
  */
-import { createHash } from "node:crypto";
+import { hash32 } from "../hash.ts";
 
 /**
  * Partitions of a spread table. A store that is 96 times as slow carries out
@@ -17,6 +17,5 @@
 
 /** The partition of a key in a spread table. */
 export function partitionOf(prefix: string, key: string): string {
-  const hash = createHash("sha256").update(key).digest().readUInt32BE(0);
-  return `${prefix}/${hash % spreadPartitions}`;
+  return `${prefix}/${hash32(key) % spreadPartitions}`;
 }
