Ask for advice and start with tickets

Now an owner asks about the open endpoints of a step that waits, 30 at a time and one question after another, starts only with a ticket that still holds, and asks again where one has run out. Where none of the pool's endpoints may run a step the pool asks for one host more.

Found by the model while it was built: a pool that had shrunk to two hosts kept two of five jobs waiting, as neither host was allowed.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -57,7 +57,11 @@
 
 /** Measures a pass at several sizes. */
 export function placementBench(): Promise<unknown> {
-  const policy = { isClosed: () => false, isUnsettled: () => false };
+  const policy = {
+    isClosed: () => false,
+    isUnsettled: () => false,
+    lacksTicket: () => false,
+  };
   const rows = sizes.map(({ tasks, endpoints }) => {
     const waiting = jobs(tasks);
     const sessions = Array.from({ length: endpoints }, (_, i) => session(i));
--- a/sim/jobs.ts
+++ b/sim/jobs.ts
@@ -70,6 +70,7 @@
     maxAttempts: queue.maxAttempts,
     sloMs: queue.sloMs,
     stretch: queue.stretch,
+    advised: queue.advised,
     acceptedAt: wall,
   };
 }
--- a/sim/model_endpoints.ts
+++ b/sim/model_endpoints.ts
@@ -7,6 +7,7 @@
   HoldOrder,
   HoldOutcome,
   OrderOutcome,
+  Rejection,
   StartOrder,
   StopOrder,
   TaskEndpoint,
@@ -33,6 +34,8 @@
   readonly workMs: number;
   /** Whether a run of this number fails. */
   fails(run: number): boolean;
+  /** Whether the endpoint takes a start with that ticket now. */
+  takes(endpoint: string, ticket: string): boolean;
 }
 
 interface ModelRun {
@@ -105,6 +108,7 @@
       return rejected("stale-run");
     }
     if (order.leaseUntil <= this.clockMs) return rejected("too-late");
+    if (!model.takes(this.info.id, order.ticket)) return rejected("no-ticket");
     if (!this.#hasRoom(model.step)) return rejected("no-room");
     this.#begin(order, model);
     return this.#done();
@@ -234,9 +238,7 @@
   }
 }
 
-function rejected(
-  reason: "fenced" | "stale-run" | "too-late" | "no-room" | "invalid",
-) {
+function rejected(reason: Rejection) {
   return { kind: "rejected", reason } as const;
 }
 
--- a/sim/world.ts
+++ b/sim/world.ts
@@ -8,7 +8,11 @@
   parseTaskName,
   type StepSpec,
 } from "../src/batch/index.ts";
-import { EndpointRegistry, type TaskEndpoint } from "../src/endpoint/index.ts";
+import {
+  type Advice,
+  EndpointRegistry,
+  type TaskEndpoint,
+} from "../src/endpoint/index.ts";
 import { Intake } from "../src/intake/index.ts";
 import { BatchService } from "../src/service/index.ts";
 import { type Row, type Store, TableWatch } from "../src/store/index.ts";
@@ -19,7 +23,7 @@
   OrderHolder,
   Wave,
 } from "../src/upkeep/index.ts";
-import { Ok } from "ts-results";
+import { Ok, type Result } from "ts-results";
 import {
   ModelEndpoint,
   ModelOrders,
@@ -33,6 +37,10 @@
 /** Longest step of the clock, in ms. */
 const stepMs = 10;
 
+/** Time that advice takes, and for which its tickets hold, in ms. */
+const decisionMs = 120;
+const ticketMs = 1_500;
+
 const migrateMs = 1_500;
 const maintenanceMs = 2_000;
 const registrations = "registrations";
@@ -52,6 +60,7 @@
     maxAttempts: 3,
     sloMs: 600,
     stretch: 2,
+    advised: false,
   };
 }
 
@@ -91,6 +100,10 @@
   readonly waveStates = new Map<string, string>();
   readonly specs = new Map<string, JobSpec>();
   readonly log: string[] = [];
+  /** Questions to the advice service so far. */
+  adviceCalls = 0;
+  /** Virtual time until which each ticket holds, in ms. */
+  readonly #tickets = new Map<string, number>();
   readonly #lives = new Map<string, ModelEndpoint>();
   #serial = 0;
   #boots = 0;
@@ -145,6 +158,7 @@
       },
       store,
       orders,
+      advisor: { advise: (step, ids) => this.#advise(process, step, ids) },
       control: this.#control(process),
       board: {
         waves: () => this.waves,
@@ -266,6 +280,36 @@
     return { queue, job: spec.id, deadline: this.clock.now() + limitMs };
   }
 
+  /** Allows about half of the endpoints of each step, for a short time. */
+  async #advise(
+    process: ProcessClock,
+    step: string,
+    endpoints: readonly string[],
+  ): Promise<Result<Advice, string>> {
+    this.adviceCalls++;
+    await new Promise<void>((resolve) => {
+      this.clock.after(decisionMs, resolve);
+    });
+    const tickets = new Map<string, string>();
+    const until = this.clock.now() + ticketMs;
+    for (const id of endpoints) {
+      if (hashText(`${step} ${id}`) % 2 === 0) continue;
+      const ticket = `${step} ${id} ${until}`;
+      tickets.set(id, ticket);
+      this.#tickets.set(ticket, until);
+    }
+    const advice = { tickets, validMs: ticketMs };
+    return await process.deliver(Promise.resolve(Ok(advice)));
+  }
+
+  /** Whether an endpoint takes a ticket for a task now. */
+  #takesTicket(task: string, endpoint: string, ticket: string): boolean {
+    const step = task.slice(0, task.lastIndexOf("."));
+    const until = this.#tickets.get(ticket) ?? 0;
+    return ticket.startsWith(`${step} ${endpoint} `) &&
+      this.clock.now() < until;
+  }
+
   #intake(entry: string): Intake {
     const found = this.entries.get(entry);
     if (found === undefined) throw new Error(`no entry ${entry}`);
@@ -282,7 +326,13 @@
     const workMs = factor * step.estimateMs * (0.5 + noise());
     const poison = spec.payload === "poison";
     const failures = Math.floor(noise() * 1.3);
-    return { step, workMs, fails: (run) => poison || run <= failures };
+    return {
+      step,
+      workMs,
+      fails: (run) => poison || run <= failures,
+      takes: (endpoint, ticket) =>
+        !spec.advised || this.#takesTicket(task, endpoint, ticket),
+    };
   }
 
   #boot(host: ModelHost): void {
--- a/src/batch/job_spec.ts
+++ b/src/batch/job_spec.ts
@@ -72,6 +72,8 @@
   /** Latency objective: `sloMs` plus `stretch` times the longest chain. */
   sloMs: v.number(),
   stretch: v.number(),
+  /** Whether starts need a ticket; rows of older releases lack it. */
+  advised: v.optional(v.boolean(), false),
   /** Wall-clock time of the acceptance, ms since the Unix epoch. */
   acceptedAt: v.number(),
 });
--- a/src/batch/task_ref.ts
+++ b/src/batch/task_ref.ts
@@ -12,6 +12,11 @@
   return `${job}.${ref.occurrence}.${ref.step}.${ref.index}`;
 }
 
+/** The name of the step that a task belongs to, in its occurrence. */
+export function stepName(job: string, ref: TaskRef): string {
+  return `${job}.${ref.occurrence}.${ref.step}`;
+}
+
 const namePattern = /^([^.]+)\.(\d+)\.(\d+)\.(\d+)$/;
 
 /** Parses a task's name; undefined when it is none. */
--- a/src/catalog/catalog.ts
+++ b/src/catalog/catalog.ts
@@ -16,6 +16,8 @@
   /** Latency objective: `sloMs` plus `stretch` times the longest chain. */
   readonly sloMs: number;
   readonly stretch: number;
+  /** Whether only an outside service knows which endpoints may run a step. */
+  readonly advised: boolean;
 }
 
 /** A pool of hosts. */
--- a/src/endpoint/index.ts
+++ b/src/endpoint/index.ts
@@ -1,4 +1,5 @@
 /** The endpoints' HTTP client. */
+export type { Advice, Advisor } from "./advisor.ts";
 export {
   type EndpointClient,
   type EndpointHealth,
--- a/src/endpoint/task_orders.ts
+++ b/src/endpoint/task_orders.ts
@@ -22,6 +22,8 @@
   readonly leaseUntil: number;
   /** Checkpoint to resume from; empty for none. */
   readonly checkpoint: string;
+  /** Ticket of the queue's policy; empty where none is asked for. */
+  readonly ticket: string;
 }
 
 /** Order to stop one run of a task. */
--- a/src/scheduler/demand_reporter.ts
+++ b/src/scheduler/demand_reporter.ts
@@ -67,16 +67,22 @@
     return this.#arrivals.cpuMillis(this.parts.clock.now()) === 0;
   }
 
-  /** Works out the demand, and writes it when it has changed. */
+  /**
+   * Works out the demand, and writes it when it has changed; `least` is a
+   * number of hosts that is needed whatever the jobs' sizes.
+   */
   report(
     jobs: readonly BookedJob[],
     sessions: readonly EndpointSession[],
+    least: number,
   ): void {
     const { clock, shard } = this.parts;
     const now = clock.now();
     if (now - this.#writtenAt < demandPeriodMs) return;
     const arriving = this.#arrivals.cpuMillis(now);
-    const want = hostsWanted(jobs, sessions, arriving, this.#isLate(now));
+    const isLate = this.#isLate(now);
+    const bySize = hostsWanted(jobs, sessions, arriving, isLate);
+    const want = Math.max(bySize, least);
     this.offers.adjust(sessions, want);
     this.#tell(want, sessions, arriving);
     const demand: PoolDemand = { want, offered: [...this.offers.offered] };
--- a/src/scheduler/driver_parts.ts
+++ b/src/scheduler/driver_parts.ts
@@ -55,6 +55,8 @@
   mayStart(run: Run): boolean;
   /** A run was confirmed by its endpoint. */
   begun(run: Run): void;
+  /** An endpoint did not take the ticket of a run. */
+  ticketRejected(run: Run, session: EndpointSession): void;
   /** Calls back once all changes so far are committed. */
   afterCommit(action: () => void): void;
   /** Room or endpoints have changed. */
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -118,9 +118,9 @@
     spec: JobSpec,
     ref: TaskRef,
     run: number,
-    checkpoint: string,
+    { checkpoint, ticket }: Pick<Run, "checkpoint" | "ticket">,
   ): Run {
-    const added = this.#newRun(spec, ref, run, "intended", checkpoint);
+    const added = this.#newRun(spec, ref, run, "intended", checkpoint, ticket);
     session.add(added);
     return added;
   }
@@ -196,6 +196,7 @@
     run: number,
     phase: RunPhase,
     checkpoint: string,
+    ticket = "",
   ): Run {
     const now = this.parts.clock.now();
     return {
@@ -214,6 +215,7 @@
       load: undefined,
       pace: 100,
       checkpoint,
+      ticket,
     };
   }
 
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -66,6 +66,8 @@
   /** Share of its work that the run is allowed, 0 to 100. */
   pace: number;
   checkpoint: string;
+  /** Ticket that its start carries; empty where none is asked for. */
+  readonly ticket: string;
 }
 
 /** What the lists of an endpoint call for. */
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -15,6 +15,7 @@
   roomOf,
 } from "./place.ts";
 export { planStarts } from "./planner.ts";
+export { TicketBook } from "./ticket_book.ts";
 export { RunTimes } from "./run_times.ts";
 export { ShardOwner } from "./shard_owner.ts";
 export type { ShardParts } from "./shard_parts.ts";
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -6,6 +6,7 @@
 import {
   type Resources,
   startableTasks,
+  stepName,
   type StepSpec,
   taskName,
   type TaskRef,
@@ -43,6 +44,8 @@
   isClosed(endpoint: string): boolean;
   /** Whether it must not get a task with an availability budget. */
   isUnsettled(endpoint: string): boolean;
+  /** Whether a step needs a ticket there that is not at hand. */
+  lacksTicket(job: BookedJob, ref: TaskRef, endpoint: string): boolean;
 }
 
 /** Most tasks that one pass places; the rest waits for the next pass. */
@@ -62,10 +65,6 @@
   runs: number;
 }
 
-function stepKey(job: string, ref: TaskRef): string {
-  return `${job}.${ref.occurrence}.${ref.step}`;
-}
-
 function openSlots(
   sessions: Iterable<EndpointSession>,
   policy: EndpointPolicy,
@@ -79,7 +78,7 @@
     const steps = new Map<string, number>();
     let runs = 0;
     for (const run of session.runs.values()) {
-      const key = stepKey(run.job, run.ref);
+      const key = stepName(run.job, run.ref);
       steps.set(key, (steps.get(key) ?? 0) + 1);
       if (!run.step.longRunning) runs++;
     }
@@ -114,11 +113,15 @@
   slots: readonly Slot[],
   job: BookedJob,
   ref: TaskRef,
+  policy: EndpointPolicy,
 ): readonly Candidate[] {
   const failedAt = job.failedAt.get(taskName(job.spec.id, ref));
-  const key = stepKey(job.spec.id, ref);
+  const key = stepName(job.spec.id, ref);
   const isProtected = job.spec.steps[ref.step].maxUnavailable !== undefined;
-  const usable = slots.filter((slot) => !(isProtected && slot.isUnsettled));
+  const usable = slots.filter(({ isUnsettled, session }) =>
+    !(isProtected && isUnsettled) &&
+    !policy.lacksTicket(job, ref, session.endpoint.id)
+  );
   return usable.map(({ session, used, steps }) => ({
     id: session.endpoint.id,
     labels: session.endpoint.labels,
@@ -136,7 +139,7 @@
   job: BookedJob,
   ref: TaskRef,
 ): string | undefined {
-  const key = stepKey(job.spec.id, ref);
+  const key = stepName(job.spec.id, ref);
   const home = slots.find((slot) => slot.steps.has(key));
   // The last label of an endpoint is its rack.
   return home?.session.endpoint.labels.at(-1);
@@ -152,14 +155,15 @@
   slots: readonly Slot[],
   job: BookedJob,
   ref: TaskRef,
+  policy: EndpointPolicy,
 ): PlannedTask | undefined {
   const step = job.spec.steps[ref.step];
   const local = step.rackLocal || step.gang;
   const rack = local ? rackOfStep(slots, job, ref) : undefined;
-  const chosen = choosePlace(step, candidates(slots, job, ref), rack);
+  const chosen = choosePlace(step, candidates(slots, job, ref, policy), rack);
   const slot = slots.find((s) => s.session.endpoint.id === chosen?.id);
   if (chosen === undefined || slot === undefined) return undefined;
-  take(slot, step, stepKey(job.spec.id, ref));
+  take(slot, step, stepName(job.spec.id, ref));
   return { job, ref, endpoint: chosen.id };
 }
 
@@ -168,12 +172,13 @@
   slots: readonly Slot[],
   job: BookedJob,
   members: readonly TaskRef[],
+  policy: EndpointPolicy,
 ): readonly PlannedTask[] {
   if (members.length < job.spec.steps[members[0].step].count) return [];
   const before = slots.map((s) => ({ used: s.used, steps: new Map(s.steps) }));
   const placed: PlannedTask[] = [];
   for (const ref of members) {
-    const one = placeOne(slots, job, ref);
+    const one = placeOne(slots, job, ref, policy);
     if (one !== undefined) {
       placed.push(one);
       continue;
@@ -203,15 +208,15 @@
   let misses = 0;
   for (const { job, ref, spec } of waiting) {
     if (planned.length >= maxPlannedTasks || misses >= maxMisses) break;
-    const key = stepKey(spec.id, ref);
+    const key = stepName(spec.id, ref);
     if (gangs.has(key)) continue;
     let placed: readonly PlannedTask[];
     if (spec.steps[ref.step].gang) {
       gangs.add(key);
-      const members = waiting.filter((w) => stepKey(w.spec.id, w.ref) === key);
-      placed = placeGang(slots, job, members.map((w) => w.ref));
+      const members = waiting.filter((w) => stepName(w.spec.id, w.ref) === key);
+      placed = placeGang(slots, job, members.map((w) => w.ref), policy);
     } else {
-      const one = placeOne(slots, job, ref);
+      const one = placeOne(slots, job, ref, policy);
       placed = one === undefined ? [] : [one];
     }
     if (placed.length === 0) misses++;
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -51,6 +51,7 @@
       payload: run.payload,
       leaseUntil,
       checkpoint: run.checkpoint,
+      ticket: run.ticket,
     });
     if (this.control.isStopped || session.runs.get(run.name) !== run) return;
     if (outcome.kind === "done") {
@@ -150,6 +151,7 @@
       return;
     }
     if (reason === "no-room") session.fullUntil = now + noRoomMs;
+    if (reason === "no-ticket") this.parts.ticketRejected(run, session);
     if (reason === "unreachable") session.fullUntil = now + unreachableMs;
     if (reason === "unhealthy") {
       session.suspicion = afterFailure(session.suspicion, run.job, now);
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -36,6 +36,7 @@
   TableWatch,
 } from "../store/index.ts";
 import { demandKey } from "../upkeep/index.ts";
+import { AdvisedSteps } from "./advised_steps.ts";
 import { Caretaker } from "./caretaker.ts";
 import { CommitQueue } from "./commit_queue.ts";
 import { DemandReporter } from "./demand_reporter.ts";
@@ -81,6 +82,7 @@
   readonly #times = new RunTimes();
   readonly #putOff: PutOffList;
   readonly #reports: ShardReports;
+  readonly #advised: AdvisedSteps;
   #stopped = false;
 
   constructor(private readonly parts: ShardParts) {
@@ -103,6 +105,10 @@
         this.commits.then(stored);
       },
     });
+    this.#advised = new AdvisedSteps({
+      ...parts,
+      changed: () => this.wantPlan(),
+    });
     this.#putOff = new PutOffList({ ...parts, times: this.#times });
     this.#reports = new ShardReports(shard, {
       counts: () => JSON.stringify(this.book.waiting()),
@@ -116,6 +122,7 @@
       mayStart: (run) => this.#isWanted(run),
       begun: (run) => this.#begun(run),
       endedLives: () => this.#endedLives(),
+      ticketRejected: (run, session) => this.#advised.rejected(run, session),
       afterCommit: (action) => this.commits.then(action),
       changed: () => this.wantPlan(),
       fenced: () => this.#lose("fenced by an endpoint"),
@@ -241,7 +248,11 @@
     this.#caretaker.pass();
     this.#expireJobs(now);
     for (const row of this.#reports.due(now)) this.commits.put(row);
-    this.#demand.report(this.#activeJobs(), this.driver.sessions());
+    this.#demand.report(
+      this.#activeJobs(),
+      this.driver.sessions(),
+      this.#advised.hostsWanted,
+    );
     if (lease.ageMs > renewMs) this.commits.flush();
     this.wantPlan();
     return Promise.resolve(carePeriodMs);
@@ -259,6 +270,8 @@
       isClosed: (id: string) =>
         vacating.has(id) || this.#demand.offers.isClosed(id, now),
       isUnsettled: (id: string) => this.#demand.offers.isUnsettled(id, now),
+      lacksTicket: (job: BookedJob, ref: TaskRef, id: string) =>
+        this.#advised.ticketFor(job, ref, id) === undefined,
     };
     const time = {
       now,
@@ -274,6 +287,7 @@
     planned.forEach(({ job, ref, endpoint }, i) =>
       this.#place(job, ref, endpoint, runs[i])
     );
+    this.#advised.review(jobs, this.driver.sessions(), policy.isClosed);
   }
 
   #place(job: BookedJob, ref: TaskRef, id: string, run: number): void {
@@ -285,6 +299,7 @@
     const progress = placeTask(job.progress, ref, placement);
     this.book.update(job, progress, clock.now());
     const checkpoint = taskAt(progress, ref)?.checkpoint ?? "";
+    const ticket = this.#advised.ticketFor(job, ref, id) ?? "";
     const step = job.spec.steps[ref.step];
     log.decision("task-placed", {
       job: job.spec.id,
@@ -296,7 +311,10 @@
       ageMs: Math.round(clock.wall() - job.spec.acceptedAt),
       expectedMs: Math.round(this.#times.expectedMs(job.spec.queue, step)),
     });
-    const started = this.driver.intend(session, job.spec, ref, run, checkpoint);
+    const started = this.driver.intend(session, job.spec, ref, run, {
+      checkpoint,
+      ticket,
+    });
     this.commits.then(() => this.driver.runs.start(session, started));
   }
 
--- a/src/scheduler/shard_parts.ts
+++ b/src/scheduler/shard_parts.ts
@@ -1,7 +1,11 @@
 /** What the owner of a shard works with. */
 import type { Clock } from "../clock/index.ts";
 import type { PreviousOwner, ShardLease } from "../cluster/index.ts";
-import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import type {
+  Advisor,
+  EndpointRegistry,
+  TaskOrders,
+} from "../endpoint/index.ts";
 import type { Store } from "../store/index.ts";
 import type { VacateState } from "../upkeep/index.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -13,6 +17,7 @@
   readonly previous: PreviousOwner;
   readonly store: Store;
   readonly orders: TaskOrders;
+  readonly advisor: Advisor;
   readonly registry: EndpointRegistry;
   readonly clock: Clock;
   readonly log: DecisionLog;
--- a/src/service/entry_parts.ts
+++ b/src/service/entry_parts.ts
@@ -2,7 +2,11 @@
 import type { CatalogHolder } from "../catalog/index.ts";
 import type { Clock } from "../clock/index.ts";
 import type { Holder } from "../cluster/index.ts";
-import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import type {
+  Advisor,
+  EndpointRegistry,
+  TaskOrders,
+} from "../endpoint/index.ts";
 import type { DecisionLog } from "../scheduler/index.ts";
 import type { Store } from "../store/index.ts";
 import type { HostControl, WaveBoard } from "../upkeep/index.ts";
@@ -18,6 +22,7 @@
   readonly self: EntryIdentity;
   readonly store: Store;
   readonly orders: TaskOrders;
+  readonly advisor: Advisor;
   readonly control: HostControl;
   readonly board: WaveBoard;
   readonly catalog: CatalogHolder;
--- a/test/platform/front_server_test.ts
+++ b/test/platform/front_server_test.ts
@@ -53,22 +53,42 @@
   });
 });
 
+/** Fills the template in as the platform does; unknown names give nothing. */
+function fillTemplate(values: Readonly<Record<string, string>>): string {
+  return readFileSync("deploy/settings.toml.tmpl", "utf8")
+    .replace(
+      /\{\{#([^}]*)\}\}(.*?)\{\{\/\1\}\}/gs,
+      (_, name: string, body: string) => name in values ? body : "",
+    )
+    .replace(/\{\{([^}]*)\}\}/g, (_, name: string) => values[name] ?? "");
+}
+
 describe("the settings template", () => {
+  const values: Readonly<Record<string, string>> = {
+    "node|json": '"front-1"',
+    "zone|json": '"z"',
+    "listen.front|json": '"127.0.0.1:1"',
+    "listen.ready|json": '"127.0.0.1:2"',
+    "platform.addr|json": '"127.0.0.1:3"',
+    "cloud.addr|json": '"127.0.0.1:4"',
+    "hint": "127.0.0.1:5",
+    "ip": "127.0.0.1",
+  };
+
   it("gives settings that the schema takes", () => {
-    const values: Readonly<Record<string, string>> = {
-      "node|json": '"front-1"',
-      "zone|json": '"z"',
-      "listen.front|json": '"127.0.0.1:1"',
-      "listen.ready|json": '"127.0.0.1:2"',
-      "platform.addr|json": '"127.0.0.1:3"',
-      "cloud.addr|json": '"127.0.0.1:4"',
-      "hint": "",
-      "ip": "127.0.0.1",
-    };
-    const text = readFileSync("deploy/settings.toml.tmpl", "utf8")
-      .replace(/\{\{([^}]*)\}\}/g, (_, name: string) => values[name] ?? "?");
-    const settings = parseBatchSettings(text);
+    const limits = { "limits.cores": "2", "limits.cpuShare": "0.675" };
+    const settings = parseBatchSettings(fillTemplate({ ...values, ...limits }));
+    assert.ok(settings.ok, JSON.stringify(settings.val));
+    const { entry, placement } = settings.val;
+    assert.deepEqual([entry.cores, entry.core_share], [2, 0.675]);
+    assert.equal(placement.advice, "127.0.0.1:5");
+  });
+
+  it("gives settings of one core where the platform names no limits", () => {
+    const settings = parseBatchSettings(fillTemplate(values));
     assert.ok(settings.ok, JSON.stringify(settings.val));
+    const { cores, core_share } = settings.val.entry;
+    assert.deepEqual([cores, core_share], [1, 1]);
   });
 });
 
--- a/test/scheduler/endpoint_session_test.ts
+++ b/test/scheduler/endpoint_session_test.ts
@@ -30,6 +30,7 @@
     phase,
     changedAt: 100,
     begunAt: 100,
+    ticket: "",
     stoppedAt: undefined,
     percent: 0,
     progressedAt: 100,
--- /dev/null
+++ b/test/scheduler/ticket_book_test.ts
@@ -0,0 +1,94 @@
+/** Tickets of steps that only some endpoints may run. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { Err, Ok, type Result } from "ts-results";
+import { jobOf } from "../../sim/jobs.ts";
+import { VirtualClock } from "../../sim/virtual_clock.ts";
+import { World } from "../../sim/world.ts";
+import type { Advice } from "../../src/endpoint/index.ts";
+import { TicketBook } from "../../src/scheduler/index.ts";
+
+const step = "job.0.0";
+
+function setUp(answer: (asked: readonly string[]) => Result<Advice, string>) {
+  const clock = new VirtualClock();
+  const asked: (readonly string[])[] = [];
+  const book = new TicketBook({
+    shard: "s",
+    clock,
+    log: { decision: () => {} },
+    changed: () => {},
+    advisor: {
+      advise: (_, endpoints) => {
+        asked.push(endpoints);
+        return Promise.resolve(answer(endpoints));
+      },
+    },
+  });
+  return { clock, book, asked };
+}
+
+function allowOnly(id: string) {
+  return () => Ok({ tickets: new Map([[id, "t"]]), validMs: 1_000 });
+}
+
+describe("tickets of a step", () => {
+  it("let it start only where it is allowed, and only for their time", async () => {
+    const { clock, book } = setUp(allowOnly("a"));
+    await book.ask(step, ["a", "b"]);
+    assert.equal(book.ticket(step, "a"), "t");
+    assert.equal(book.ticket(step, "b"), undefined);
+    await clock.advance(1_000);
+    assert.equal(book.ticket(step, "a"), undefined);
+  });
+
+  it("are asked for again only where they have run out", async () => {
+    const { clock, book, asked } = setUp(allowOnly("a"));
+    await book.ask(step, ["a", "b"]);
+    await book.ask(step, ["a", "b"]);
+    await clock.advance(1_000);
+    await book.ask(step, ["a", "b", "c"]);
+    assert.deepEqual(asked, [["a", "b"], ["a", "c"]]);
+  });
+
+  it("are asked for about thirty endpoints at a time", async () => {
+    const ids = Array.from({ length: 70 }, (_, i) => `e${i}`);
+    const { book, asked } = setUp(() =>
+      Ok({ tickets: new Map(), validMs: 100 })
+    );
+    await book.ask(step, ids);
+    await book.ask(step, ids);
+    await book.ask(step, ids);
+    assert.deepEqual(asked.map((a) => a.length), [30, 30, 10]);
+  });
+
+  it("are not asked for in a hurry when the service refuses", async () => {
+    const { clock, book, asked } = setUp(() => Err("status 429"));
+    await book.ask(step, ["a"]);
+    await book.ask(step, ["a"]);
+    assert.equal(asked.length, 1);
+    await clock.advance(400);
+    await book.ask(step, ["a"]);
+    assert.equal(asked.length, 2);
+  });
+});
+
+describe("a queue whose policy allows only some endpoints", () => {
+  it("has its jobs done there, with few questions", async () => {
+    const world = new World({ seed: 8, entries: 2, hostsPerPool: 4 });
+    await world.pass(3_000);
+    const count = 5;
+    for (let i = 1; i <= count; i++) {
+      const job = jobOf(i, "chain", "quotes", world.clock.wall());
+      world.submit({ ...job, advised: true }, "entry-0");
+      await world.pass(1_000);
+    }
+    await world.pass(15_000);
+    assert.deepEqual(await world.finish(), []);
+    const rejected = world.log.filter((line) => line.includes("no-ticket"));
+    assert.deepEqual(rejected, []);
+    // Three steps a job; some ask again once further endpoints are needed.
+    assert.ok(world.adviceCalls <= 3 * count * 2, `${world.adviceCalls}`);
+    for (const { process } of world.entries.values()) process.kill();
+  });
+});
