Replace hosts that can't be reached, from zones that can

Cause: in a cut zone's surge the pool's size counted hosts that nobody could reach, and idle hosts of the cut zone were as likely to be moved in as others. Now a shard's owner names the endpoints that have not answered for 0.6 s, the fleet's owner adds hosts that are up but not registered for 2.5 s, and neither counts for its pool; idle hosts of the zones that are reached best go first.

Tests: test/upkeep/pool_sizes_test.ts (a zone cut off during a surge), test/upkeep/vacate_book_test.ts.

--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -9,6 +9,7 @@
 export {
   type CommitFailure,
   type Holder,
+  leaseEntries,
   type Owner,
   type OwnerRow,
   ownerTable,
--- a/src/cluster/shard_lease.ts
+++ b/src/cluster/shard_lease.ts
@@ -23,6 +23,9 @@
 export const ownerTable = "owner";
 const ownerKey = "owner";
 
+/** Entries that a commit adds to each transaction: its check and its put. */
+export const leaseEntries = 2;
+
 /** Tries to give a shard up before its lease has to run out. */
 const releaseAttempts = 8;
 
--- a/src/scheduler/commit_queue.ts
+++ b/src/scheduler/commit_queue.ts
@@ -4,7 +4,11 @@
  */
 import { Buffer } from "node:buffer";
 import { type Clock, delay } from "../clock/index.ts";
-import type { CommitFailure, ShardLease } from "../cluster/index.ts";
+import {
+  type CommitFailure,
+  leaseEntries,
+  type ShardLease,
+} from "../cluster/index.ts";
 import {
   maxTransactionBytes,
   maxTransactionEntries,
@@ -18,9 +22,6 @@
 /** Pause after a transaction that failed, in ms. */
 const failurePauseMs = 100;
 
-/** Entries of a transaction that the lease itself needs. */
-const leaseEntries = 2;
-
 const maxRows = maxTransactionEntries - leaseEntries;
 
 /** Source of the rows of a batch. */
--- a/src/scheduler/demand_reporter.ts
+++ b/src/scheduler/demand_reporter.ts
@@ -22,6 +22,12 @@
 /** Age up to which a job that is read counts as arriving, in ms. */
 const freshJobMs = 1_500;
 
+/**
+ * Time without an answer after which an endpoint's host is replaced, in ms: a
+ * single lost answer must not cost a move.
+ */
+const silentMs = 600;
+
 /** Time after which an offer that nobody takes is not needed, in ms. */
 const untakenMs = 1_200;
 
@@ -85,7 +91,11 @@
     const want = Math.max(bySize, least);
     this.offers.adjust(sessions, want);
     this.#tell(want, sessions, arriving);
-    const demand: PoolDemand = { want, offered: [...this.offers.offered] };
+    const silent = sessions
+      .filter((s) => s.isSilentFor(silentMs, now))
+      .map((s) => s.endpoint.id);
+    const offered = [...this.offers.offered];
+    const demand: PoolDemand = { want, offered, silent };
     const value = JSON.stringify(demand);
     if (value === this.#written) return;
     this.#written = value;
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -111,10 +111,10 @@
   suspicion: Suspicion = noSuspicion;
   /** Steady time until which the endpoint had no room. */
   fullUntil = 0;
-  /** Whether the last hold went without an answer. */
-  silent = false;
   /** Whether the life is over; nothing more is sent to it. */
   closed = false;
+  /** Steady time since which holds go without an answer. */
+  #silentSince: number | undefined;
   #used: Resources = nothing;
   #clockMs: number | undefined;
   #clockReadAt = 0;
@@ -134,6 +134,22 @@
     return this.#leaseEndsBy;
   }
 
+  /** Whether the last hold went without an answer. */
+  get silent(): boolean {
+    return this.#silentSince !== undefined;
+  }
+
+  /** Whether holds have gone without an answer for `ms`. */
+  isSilentFor(ms: number, now: number): boolean {
+    return this.#silentSince !== undefined && now - this.#silentSince >= ms;
+  }
+
+  /** Notes that a hold went without an answer, or that one came. */
+  noteAnswer(answered: boolean, now: number): void {
+    if (answered) this.#silentSince = undefined;
+    else this.#silentSince ??= now;
+  }
+
   /** Whether tasks may be placed there. */
   get isOpen(): boolean {
     return !this.closed && this.fenced && !this.silent &&
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -4,10 +4,19 @@
  */
 import type { CatalogHolder } from "../catalog/index.ts";
 import type { Clock } from "../clock/index.ts";
-import type { PreviousOwner, ShardLease } from "../cluster/index.ts";
+import {
+  leaseEntries,
+  type PreviousOwner,
+  type ShardLease,
+} from "../cluster/index.ts";
+import type { EndpointRegistry } from "../endpoint/index.ts";
 import type { DecisionLog } from "../scheduler/index.ts";
 import { onlyKey } from "../batch/index.ts";
-import { parseJson, type Store } from "../store/index.ts";
+import {
+  maxTransactionEntries,
+  parseJson,
+  type Store,
+} from "../store/index.ts";
 import type {
   HostControl,
   HostOrderOutcome,
@@ -58,6 +67,12 @@
   silent: 600,
 };
 
+/**
+ * Time in which the endpoint of a host that is up registers itself, in ms:
+ * its start and a poll of the registrations, with the pages' lag of a second.
+ */
+const registrationMs = 2_500;
+
 /** Time for which a host whose move was rejected is left alone, in ms. */
 const rejectedMoveMs = 2_000;
 
@@ -69,6 +84,7 @@
   readonly control: HostControl;
   readonly board: WaveBoard;
   readonly catalog: CatalogHolder;
+  readonly registry: EndpointRegistry;
   readonly clock: Clock;
   readonly log: DecisionLog;
   readonly previous: PreviousOwner;
@@ -81,6 +97,8 @@
   readonly #waves: WaveRunner;
   /** Steady time since which an endpoint is offered. */
   readonly #offeredSince = new Map<string, number>();
+  /** Steady time since which the endpoint of a host that is up is missing. */
+  #missingSince: ReadonlyMap<string, number> = new Map();
   /** Steady time until which a host is not moved. */
   readonly #restUntil = new Map<string, number>();
   #isLoaded = false;
@@ -168,6 +186,7 @@
       hosts: hosts.filter((h) => (this.#restUntil.get(h.host) ?? 0) <= now),
       demands,
       vacating: this.#vacates.all(),
+      unreachable: this.#unreachable(hosts, demands, now),
       offeredFor: (id) => now - (this.#offeredSince.get(id) ?? now),
     });
     // Hosts that a wave will take soon are the first to be left where they are.
@@ -181,6 +200,30 @@
     }
   }
 
+  /**
+   * Endpoints that their pool's owner does not reach, and those of hosts that
+   * are up without being registered for a while.
+   */
+  #unreachable(
+    hosts: readonly ListedHost[],
+    demands: ReadonlyMap<string, PoolDemand>,
+    now: number,
+  ): ReadonlySet<string> {
+    const { registry } = this.parts;
+    const missing = hosts.filter(({ state, endpoint }) =>
+      state === "up" && endpoint !== "" && registry.get(endpoint) === undefined
+    ).map((h) => h.endpoint);
+    const since = new Map(
+      missing.map((id) => [id, this.#missingSince.get(id) ?? now]),
+    );
+    this.#missingSince = since;
+    const long = missing.filter((id) =>
+      now - (since.get(id) ?? now) > registrationMs
+    );
+    const silent = [...demands.values()].flatMap((demand) => demand.silent);
+    return new Set([...long, ...silent]);
+  }
+
   #noteOffers(demands: ReadonlyMap<string, PoolDemand>, now: number): void {
     const offered = new Set([...demands.values()].flatMap((d) => d.offered));
     for (const id of this.#offeredSince.keys()) {
@@ -261,7 +304,8 @@
   async #store(hosts: readonly ListedHost[]): Promise<void> {
     const { lease, clock, log } = this.parts;
     const waves = this.#waves.changes();
-    const vacates = this.#vacates.changes(hosts, clock.now());
+    const room = maxTransactionEntries - leaseEntries - waves.length;
+    const vacates = this.#vacates.changes(hosts, clock.now(), room);
     const puts = [...waves, ...vacates.puts];
     const isSame = puts.length + vacates.removes.length === 0;
     if (!isSame || lease.ageMs > renewMs) {
--- a/src/upkeep/pool_sizes.ts
+++ b/src/upkeep/pool_sizes.ts
@@ -7,6 +7,10 @@
  * them. Each pool's owner says how many hosts it wants, and offers endpoints
  * that it keeps empty. An offered host goes to a pool that lacks hosts at
  * once, and into standby after a while.
+ *
+ * Hosts whose endpoint can't be reached do no work, so they don't count for
+ * their pool; and as an availability zone is cut off as a whole, hosts of the
+ * zones with the most of them are moved last.
  */
 import * as v from "valibot";
 import type { Pool } from "../catalog/index.ts";
@@ -17,6 +21,8 @@
   want: v.number(),
   /** Endpoints that are empty and get no work; their hosts may move. */
   offered: v.array(v.string()),
+  /** Endpoints that don't answer; rows of older releases lack them. */
+  silent: v.optional(v.array(v.string()), []),
 });
 
 /** What a shard's owner says of its pool. */
@@ -35,6 +41,8 @@
   readonly demands: ReadonlyMap<string, PoolDemand>;
   /** Endpoints that are being emptied for maintenance. */
   readonly vacating: ReadonlySet<string>;
+  /** Endpoints of hosts that are up but can't be reached. */
+  readonly unreachable: ReadonlySet<string>;
   /** Time for which an endpoint has been offered, in ms. */
   readonly offeredFor: (endpoint: string) => number;
 }
@@ -52,7 +60,8 @@
   const offered = new Set(view.demands.get(pool)?.offered);
   return view.hosts.filter((h) =>
     h.pool === pool && (h.state === "up" || h.state === "moving") &&
-    !view.vacating.has(h.endpoint) && !offered.has(h.endpoint)
+    !view.vacating.has(h.endpoint) && !offered.has(h.endpoint) &&
+    !view.unreachable.has(h.endpoint)
   ).length;
 }
 
@@ -68,14 +77,31 @@
   return lacking.sort((a, b) => a.turn - b.turn).map(({ pool }) => pool);
 }
 
-/** Hosts whose pool can spare them: idle ones first, then offered ones. */
+/** Number of unreachable endpoints by availability zone. */
+function unreachableByZone(view: SizeView): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const { zone, endpoint } of view.hosts) {
+    if (!view.unreachable.has(endpoint)) continue;
+    counts.set(zone, (counts.get(zone) ?? 0) + 1);
+  }
+  return counts;
+}
+
+/**
+ * Hosts whose pool can spare them: idle ones first, then offered ones; of
+ * each, those of the zones that are reached best first.
+ */
 function spareHosts(view: SizeView, standby: string): readonly ListedHost[] {
   const offered = new Set(
     [...view.demands.values()].flatMap((demand) => demand.offered),
   );
-  const up = view.hosts.filter((h) =>
-    h.state === "up" && !view.vacating.has(h.endpoint)
-  );
+  const cut = unreachableByZone(view);
+  const up = view.hosts
+    .filter((h) =>
+      h.state === "up" && !view.vacating.has(h.endpoint) &&
+      !view.unreachable.has(h.endpoint)
+    )
+    .sort((a, b) => (cut.get(a.zone) ?? 0) - (cut.get(b.zone) ?? 0));
   const idle = up.filter((h) => h.pool === standby);
   return [...idle, ...up.filter((h) => offered.has(h.endpoint))];
 }
--- a/src/upkeep/vacate_book.ts
+++ b/src/upkeep/vacate_book.ts
@@ -78,18 +78,27 @@
     return new Set(this.#endpoints.keys());
   }
 
-  /** The rows that the store lacks, and those that are no longer needed. */
-  changes(hosts: readonly ListedHost[], now: number): VacateChanges {
+  /**
+   * The rows that the store lacks, and those that are no longer needed: at
+   * most `limit` of them, the others with a later call.
+   */
+  changes(
+    hosts: readonly ListedHost[],
+    now: number,
+    limit: number,
+  ): VacateChanges {
     const running = new Set(hosts.map((h) => h.endpoint));
-    const unstored: [string, Vacating][] = [];
-    const removed: string[] = [];
+    const allUnstored: [string, Vacating][] = [];
+    const allRemoved: string[] = [];
     for (const [id, endpoint] of this.#endpoints) {
       if (running.has(id)) endpoint.goneSince = undefined;
       else endpoint.goneSince ??= now;
       const gone = now - (endpoint.goneSince ?? now) > forgetEndpointMs;
-      if (gone) removed.push(id);
-      else if (!endpoint.isStored) unstored.push([id, endpoint]);
+      if (gone) allRemoved.push(id);
+      else if (!endpoint.isStored) allUnstored.push([id, endpoint]);
     }
+    const unstored = allUnstored.slice(0, limit);
+    const removed = allRemoved.slice(0, limit - unstored.length);
     return {
       puts: unstored.map(([id, { state }]) => ({
         ...vacateKey(id),
--- a/test/upkeep/pool_sizes_test.ts
+++ b/test/upkeep/pool_sizes_test.ts
@@ -22,33 +22,60 @@
   hosts: readonly ListedHost[],
   demands: Readonly<Record<string, PoolDemand>>,
   offeredMs = 0,
+  unreachable: readonly string[] = [],
 ) {
   return planSizes({
     pools,
     hosts,
     demands: new Map(Object.entries(demands)),
     vacating: new Set(),
+    unreachable: new Set(unreachable),
     offeredFor: () => offeredMs,
   }).map(({ host, to }) => `${host}>${to}`);
 }
 
-const idle = { want: 0, offered: [] };
+const idle = { want: 0, offered: [], silent: [] };
 
 describe("moves between pools", () => {
+  describe("when a zone is cut off during a surge", () => {
+    const hosts = [
+      host("a", "quotes", { zone: "cut" }),
+      host("b", "quotes", { zone: "near" }),
+      host("c", "spare", { zone: "cut" }),
+      host("d", "spare", { zone: "near" }),
+    ];
+    const demands = { quotes: { want: 2, offered: [], silent: ["on-a"] } };
+
+    it("replaces the hosts that can't be reached", () => {
+      assert.deepEqual(plan(hosts, demands), []);
+      assert.equal(plan(hosts, demands, 0, ["on-a"]).length, 1);
+    });
+
+    it("takes hosts of the zones that can be reached first", () => {
+      assert.deepEqual(plan(hosts, demands, 0, ["on-a"]), ["d>quotes"]);
+    });
+
+    it("leaves what can't be reached where it is", () => {
+      const offering = { quotes: { want: 0, offered: ["on-a"], silent: [] } };
+      const moves = plan([hosts[0]], offering, 5_000, ["on-a"]);
+      assert.deepEqual(moves, []);
+    });
+  });
+
   describe("when a surge begins", () => {
     it("takes hosts out of standby, by turns of the pools that lack", () => {
       const hosts = ["a", "b", "c"].map((n) => host(n, "spare"));
       const moves = plan(hosts, {
-        quotes: { want: 2, offered: [] },
-        invoices: { want: 1, offered: [] },
+        quotes: { want: 2, offered: [], silent: [] },
+        invoices: { want: 1, offered: [], silent: [] },
       });
       assert.deepEqual(moves, ["a>quotes", "b>invoices", "c>quotes"]);
     });
 
     it("takes what another pool offers without the way over standby", () => {
       const moves = plan([host("a", "quotes"), host("b", "quotes")], {
-        quotes: { want: 1, offered: ["on-b"] },
-        invoices: { want: 1, offered: [] },
+        quotes: { want: 1, offered: ["on-b"], silent: [] },
+        invoices: { want: 1, offered: [], silent: [] },
       });
       assert.deepEqual(moves, ["b>invoices"]);
     });
@@ -58,7 +85,7 @@
         host("a", "quotes", { state: "moving" }),
         host("b", "spare"),
       ];
-      const quotes = { want: 1, offered: [] };
+      const quotes = { want: 1, offered: [], silent: [] };
       assert.deepEqual(plan(hosts, { quotes, invoices: idle }), []);
     });
   });
@@ -66,7 +93,7 @@
   describe("when a surge has passed", () => {
     const hosts = [host("a", "quotes"), host("b", "quotes")];
     const demands = {
-      quotes: { want: 1, offered: ["on-b"] },
+      quotes: { want: 1, offered: ["on-b"], silent: [] },
       invoices: idle,
     };
 
