Number the answers to bad input and say what is allowed

Callers of batch jobs got bare 400, 404, 410 and 413 answers. Each refusal now carries its result code, its name and, for a malformed job, the field, the value and what is allowed; nothing is stored (test/platform/front_server_test.ts).

A job of more than 700 tasks is refused: its progress would outgrow a row of the store, and from then on every commit of its shard would be refused.

--- a/src/batch/job_spec.ts
+++ b/src/batch/job_spec.ts
@@ -81,6 +81,17 @@
 /** One job. */
 export type JobSpec = v.InferOutput<typeof jobSpecSchema>;
 
+/**
+ * Most tasks of one occurrence. Its progress is one row of the store, of at
+ * most 64 KiB; a task that has run takes up to 90 bytes.
+ */
+export const maxTasks = 700;
+
+/** Tasks of one occurrence. */
+export function taskCount(steps: readonly StepSpec[]): number {
+  return steps.reduce((sum, step) => sum + step.count, 0);
+}
+
 /** Occurrences of a job. */
 export function occurrenceCount(spec: JobSpec): number {
   return spec.schedule?.count ?? 1;
--- a/src/errors/result_code.ts
+++ b/src/errors/result_code.ts
@@ -173,6 +173,27 @@
     "not-run",
     "No connection to a host could be opened.",
   ),
+  unknownQueue: define(
+    2020,
+    "unknown-queue",
+    404,
+    "not-run",
+    "The table holds no queue of this host name and path.",
+  ),
+  noSuchJob: define(
+    2021,
+    "no-such-job",
+    410,
+    "none",
+    "No job of this id is stored.",
+  ),
+  jobTooLarge: define(
+    2022,
+    "job-too-large",
+    400,
+    "not-run",
+    "The job has more tasks than a record holds.",
+  ),
   connectionLost: define(
     3001,
     "connection-lost",
--- a/test/platform/front_server_test.ts
+++ b/test/platform/front_server_test.ts
@@ -174,6 +174,60 @@
       );
     });
 
+    describe("with bad input", () => {
+      const stored = () => model.table("inbox-pool-1").length;
+      const step = { count: 1, cpu: 1 };
+      const cases = [
+        ["text that is no JSON", "{", 2011, "body"],
+        ["no steps", { spec: "x", phases: [] }, 2011, "phases"],
+        ["a count below one", { phases: [{ count: 0 }] }, 2011, "count"],
+        ["a text for a number", { phases: [{ count: "2" }] }, 2011, "count"],
+        [
+          "a step after itself",
+          {
+            phases: [{ ...step, after: [0] }],
+          },
+          2011,
+          "after",
+        ],
+        [
+          "more tasks than a record holds",
+          {
+            phases: [{ count: 701 }],
+          },
+          2022,
+          "at most 700",
+        ],
+      ] as const;
+      for (const [name, input, code, hint] of cases) {
+        it(`refuses ${name}, says why, and stores nothing`, async () => {
+          const before = stored();
+          const text = typeof input === "string"
+            ? input
+            : JSON.stringify(input);
+          const res = await call("POST", "/q/00000000000000ee", text);
+          assert.equal(res.status, 400);
+          const answer = JSON.parse(res.text);
+          assert.equal(answer.code, code);
+          assert.ok(res.text.includes(hint), res.text);
+          assert.equal(stored(), before);
+        });
+      }
+
+      it("refuses a body above the limit", async () => {
+        const res = await call("POST", `/q/${job}`, "x".repeat(300_000));
+        assert.equal(res.status, 413);
+        assert.equal(JSON.parse(res.text).code, 2010);
+      });
+
+      it("numbers the answers for what does not exist", async () => {
+        const queue = await call("GET", "/other/");
+        assert.equal(JSON.parse(queue.text).code, 2020);
+        const gone = await call("GET", "/q/00000000000000bb");
+        assert.equal(JSON.parse(gone.text).code, 2021);
+      });
+    });
+
     it("says unknown, never refused, when a job may be stored", async () => {
       model.setMood("e", "silent");
       const res = await call("POST", "/q/00000000000000dd", body);
