Place without allocating, reload settings, keep log lines of rare events

The demand looks at the rank of an occurrence once instead of once a task.

Lines dropped for a slow reader are counted one by one, not as one.

--- a/src/scheduler/demand_reporter.ts
+++ b/src/scheduler/demand_reporter.ts
@@ -12,7 +12,7 @@
 import type { EndpointSession } from "./endpoint_session.ts";
 import { HostOffers } from "./host_offers.ts";
 import type { BookedJob } from "./job_book.ts";
-import { rankOfJob } from "./job_rank.ts";
+import { occurrenceKey, rankOfJob } from "./job_rank.ts";
 import { onTimeTier } from "./order.ts";
 import type { RunTimes } from "./run_times.ts";
 
@@ -115,8 +115,15 @@
     const since = this.#offeringSince;
     if (since !== undefined && now - since > untakenMs) return () => false;
     const wall = this.parts.clock.wall();
-    return (job, occurrence) =>
-      rankOfJob(job, occurrence, wall, this.parts.times).tier > onTimeTier;
+    const known = new Map<string, boolean>();
+    return (job, occurrence) => {
+      const key = occurrenceKey(job.spec.id, occurrence);
+      const before = known.get(key);
+      if (before !== undefined) return before;
+      const { tier } = rankOfJob(job, occurrence, wall, this.parts.times);
+      known.set(key, tier > onTimeTier);
+      return tier > onTimeTier;
+    };
   }
 
   #tell(
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -48,14 +48,14 @@
 
 /** Whether a candidate may run a task of the step now. */
 export function isEligible(step: StepSpec, c: Candidate): boolean {
+  const { capacity, used } = c;
+  const { demand } = step;
+  const cpuMillis = step.filler ? 0 : demand.cpuMillis;
+  if (used.cpuMillis + cpuMillis > capacity.cpuMillis) return false;
+  if (used.memoryMb + demand.memoryMb > capacity.memoryMb) return false;
+  if (used.gpus + demand.gpus > capacity.gpus) return false;
   if (step.label !== "" && !c.labels.includes(step.label)) return false;
-  if (step.maxPerEndpoint > 0 && c.sameStep >= step.maxPerEndpoint) {
-    return false;
-  }
-  const free = subtractResources(c.capacity, c.used);
-  const need = roomOf(step);
-  return need.cpuMillis <= free.cpuMillis && need.memoryMb <= free.memoryMb &&
-    need.gpus <= free.gpus;
+  return step.maxPerEndpoint <= 0 || c.sameStep < step.maxPerEndpoint;
 }
 
 /** The rack where a rack-local step already runs, if any. */
@@ -71,12 +71,12 @@
 }
 
 /** The best eligible candidate; undefined when there is none. */
-export function choosePlace(
+export function choosePlace<C extends Candidate>(
   step: StepSpec,
-  candidates: readonly Candidate[],
+  candidates: readonly C[],
   rack?: PreferredRack,
-): Candidate | undefined {
-  let best: Candidate | undefined;
+): C | undefined {
+  let best: C | undefined;
   let bestScore = Infinity;
   for (const candidate of candidates) {
     if (!isEligible(step, candidate)) continue;
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -4,10 +4,8 @@
  * which the caller takes as the plan is carried out.
  */
 import {
-  type Resources,
   startableTasks,
   stepName,
-  type StepSpec,
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
@@ -15,9 +13,10 @@
 import type { EndpointSession } from "./endpoint_session.ts";
 import { occurrenceKey, rankOfJob } from "./job_rank.ts";
 import { compareRanks, putOff, type WaitingTask } from "./order.ts";
-import { addResources, type Candidate, choosePlace, roomOf } from "./place.ts";
+import { choosePlace } from "./place.ts";
 import type { RunTimes } from "./run_times.ts";
-import { degree, mayGetWork } from "./suspicion.ts";
+import { Slot, type TaskView } from "./slot.ts";
+import { mayGetWork } from "./suspicion.ts";
 
 /** A task and the endpoint that it goes to. */
 export interface PlannedTask {
@@ -54,20 +53,10 @@
 /** Waiting tasks that may miss a place in a row before a pass ends. */
 const maxMisses = 60;
 
-/** Room of one endpoint during a pass. */
-interface Slot {
-  readonly session: EndpointSession;
-  /** Whether tasks with an availability budget must not come here. */
-  readonly isUnsettled: boolean;
-  used: Resources;
-  /** Runs by step and occurrence, `JOB.OCCURRENCE.STEP`. */
-  readonly steps: Map<string, number>;
-  runs: number;
-}
-
 function openSlots(
   sessions: Iterable<EndpointSession>,
   policy: EndpointPolicy,
+  view: TaskView,
   now: number,
 ): readonly Slot[] {
   const slots: Slot[] = [];
@@ -75,16 +64,8 @@
     const { id } = session.endpoint;
     if (!session.isOpen || session.fullUntil > now) continue;
     if (policy.isClosed(id)) continue;
-    const steps = new Map<string, number>();
-    let runs = 0;
-    for (const run of session.runs.values()) {
-      const key = stepName(run.job, run.ref);
-      steps.set(key, (steps.get(key) ?? 0) + 1);
-      if (!run.step.longRunning) runs++;
-    }
-    if (!mayGetWork(session.suspicion, runs, now)) continue;
-    const isUnsettled = policy.isUnsettled(id);
-    slots.push({ session, isUnsettled, used: session.used, steps, runs });
+    const slot = new Slot(session, policy.isUnsettled(id), view);
+    if (mayGetWork(session.suspicion, slot.runs, now)) slots.push(slot);
   }
   return slots;
 }
@@ -109,86 +90,65 @@
   return waiting.sort((a, b) => compareRanks(a.rank, b.rank));
 }
 
-function candidates(
-  slots: readonly Slot[],
+/** What a pass works with. */
+interface Pass {
+  readonly slots: readonly Slot[];
+  readonly view: TaskView;
+  readonly policy: EndpointPolicy;
+}
+
+/** Endpoints that may get the task, as far as its room goes. */
+function usableSlots(
+  { slots, policy }: Pass,
   job: BookedJob,
   ref: TaskRef,
-  policy: EndpointPolicy,
-): readonly Candidate[] {
-  const failedAt = job.failedAt.get(taskName(job.spec.id, ref));
-  const key = stepName(job.spec.id, ref);
+): readonly Slot[] {
   const isProtected = job.spec.steps[ref.step].maxUnavailable !== undefined;
-  const usable = slots.filter(({ isUnsettled, session }) =>
-    !(isProtected && isUnsettled) &&
-    !policy.lacksTicket(job, ref, session.endpoint.id)
+  if (!isProtected && !job.spec.advised) return slots;
+  return slots.filter(({ id, isUnsettled }) =>
+    !(isProtected && isUnsettled) && !policy.lacksTicket(job, ref, id)
   );
-  return usable.map(({ session, used, steps }) => ({
-    id: session.endpoint.id,
-    labels: session.endpoint.labels,
-    capacity: session.endpoint.capacity,
-    used,
-    sameStep: steps.get(key) ?? 0,
-    failedHere: failedAt?.has(session.endpoint.id) ?? false,
-    suspicion: degree(session.suspicion),
-  }));
 }
 
-/** The rack where most of a step's tasks are. */
-function rackOfStep(
-  slots: readonly Slot[],
-  job: BookedJob,
-  ref: TaskRef,
-): string | undefined {
-  const key = stepName(job.spec.id, ref);
-  const home = slots.find((slot) => slot.steps.has(key));
+/** The rack where most of the step's tasks are. */
+function rackOfStep(slots: readonly Slot[]): string | undefined {
   // The last label of an endpoint is its rack.
-  return home?.session.endpoint.labels.at(-1);
-}
-
-function take(slot: Slot, step: StepSpec, key: string): void {
-  slot.used = addResources(slot.used, roomOf(step));
-  slot.steps.set(key, (slot.steps.get(key) ?? 0) + 1);
-  slot.runs++;
+  return slots.find((slot) => slot.sameStep > 0)?.labels.at(-1);
 }
 
 function placeOne(
-  slots: readonly Slot[],
+  pass: Pass,
   job: BookedJob,
   ref: TaskRef,
-  policy: EndpointPolicy,
 ): PlannedTask | undefined {
+  const { slots, view } = pass;
   const step = job.spec.steps[ref.step];
+  view.step = stepName(job.spec.id, ref);
+  view.failedAt = job.failedAt.get(taskName(job.spec.id, ref));
   const local = step.rackLocal || step.gang;
-  const rack = local ? rackOfStep(slots, job, ref) : undefined;
-  const chosen = choosePlace(step, candidates(slots, job, ref, policy), rack);
-  const slot = slots.find((s) => s.session.endpoint.id === chosen?.id);
-  if (chosen === undefined || slot === undefined) return undefined;
-  take(slot, step, stepName(job.spec.id, ref));
-  return { job, ref, endpoint: chosen.id };
+  const rack = local ? rackOfStep(slots) : undefined;
+  const slot = choosePlace(step, usableSlots(pass, job, ref), rack);
+  if (slot === undefined) return undefined;
+  slot.take(step);
+  return { job, ref, endpoint: slot.id };
 }
 
 /** Places all members of a gang or none. */
 function placeGang(
-  slots: readonly Slot[],
+  pass: Pass,
   job: BookedJob,
   members: readonly TaskRef[],
-  policy: EndpointPolicy,
 ): readonly PlannedTask[] {
   if (members.length < job.spec.steps[members[0].step].count) return [];
-  const before = slots.map((s) => ({ used: s.used, steps: new Map(s.steps) }));
+  const before = pass.slots.map((slot) => slot.save());
   const placed: PlannedTask[] = [];
   for (const ref of members) {
-    const one = placeOne(slots, job, ref, policy);
-    if (one !== undefined) {
-      placed.push(one);
-      continue;
+    const one = placeOne(pass, job, ref);
+    if (one === undefined) {
+      pass.slots.forEach((slot, i) => slot.restore(before[i]));
+      return [];
     }
-    slots.forEach((slot, i) => {
-      slot.used = before[i].used;
-      slot.steps.clear();
-      for (const [key, n] of before[i].steps) slot.steps.set(key, n);
-    });
-    return [];
+    placed.push(one);
   }
   return placed;
 }
@@ -200,8 +160,10 @@
   policy: EndpointPolicy,
   time: PlanTime,
 ): readonly PlannedTask[] {
-  const slots = openSlots(sessions, policy, time.now);
+  const view: TaskView = { step: "", failedAt: undefined };
+  const slots = openSlots(sessions, policy, view, time.now);
   if (slots.length === 0) return [];
+  const pass: Pass = { slots, view, policy };
   const waiting = waitingTasks(jobs, time);
   const planned: PlannedTask[] = [];
   const gangs = new Set<string>();
@@ -214,9 +176,9 @@
     if (spec.steps[ref.step].gang) {
       gangs.add(key);
       const members = waiting.filter((w) => stepName(w.spec.id, w.ref) === key);
-      placed = placeGang(slots, job, members.map((w) => w.ref), policy);
+      placed = placeGang(pass, job, members.map((w) => w.ref));
     } else {
-      const one = placeOne(slots, job, ref, policy);
+      const one = placeOne(pass, job, ref);
       placed = one === undefined ? [] : [one];
     }
     if (placed.length === 0) misses++;
--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -12,3 +12,4 @@
   loadBatchSettings,
   parseBatchSettings,
 } from "./batch_settings.ts";
+export { compareSettings, type SettingsChange } from "./reload.ts";
--- a/src/telemetry/decision_writer.ts
+++ b/src/telemetry/decision_writer.ts
@@ -2,9 +2,10 @@
  * Decisions as JSON lines on standard output.
  *
  * Lines are gathered and written together; above the limit they are dropped
- * and counted, so that logging costs a bounded share of the processor.
+ * and counted, so that logging costs a bounded share of the processor. Lines
+ * about single tasks and requests leave a part of the limit to the others, so
+ * that a surge does not hide a change of owner.
  */
-import { Buffer } from "node:buffer";
 import process from "node:process";
 import bunyan from "bunyan";
 import type { Clock } from "../clock/index.ts";
@@ -18,6 +19,19 @@
 
 const secondMs = 1_000;
 
+/** Share of the limit that lines about single tasks and requests may take. */
+const routineShare = 0.8;
+
+/** Events of which there are several for each task or request. */
+const routineEvents: ReadonlySet<string> = new Set([
+  "task-placed",
+  "task-ended",
+  "job-taken",
+  "job-put-off",
+  "caller-answered",
+  "run-over",
+]);
+
 /** Who writes, and how much at most. */
 export interface DecisionWriterOptions {
   readonly entry: string;
@@ -26,6 +40,13 @@
   readonly linesPerS: number;
 }
 
+/** Where the lines go. */
+export interface LineOutput {
+  /** Bytes that its reader has not taken yet. */
+  readonly writableLength: number;
+  write(text: string): unknown;
+}
+
 /** Writes decisions. */
 export class DecisionWriter implements DecisionLog {
   readonly #log: bunyan;
@@ -34,11 +55,14 @@
   #inWindow = 0;
   #dropped = 0;
   #isScheduled = false;
+  #linesPerS: number;
 
   constructor(
-    private readonly options: DecisionWriterOptions,
+    options: DecisionWriterOptions,
     private readonly clock: Clock,
+    private readonly output: LineOutput = process.stdout,
   ) {
+    this.#linesPerS = options.linesPerS;
     this.#log = bunyan.createLogger({
       name: "briartide",
       level: options.level,
@@ -54,7 +78,8 @@
   decision(event: string, fields: DecisionFields): void {
     const now = this.clock.now();
     if (now - this.#windowAt >= secondMs) this.#openWindow(now);
-    if (this.#inWindow >= this.options.linesPerS) {
+    const share = routineEvents.has(event) ? routineShare : 1;
+    if (this.#inWindow >= this.#linesPerS * share) {
       this.#dropped++;
       return;
     }
@@ -62,17 +87,25 @@
     this.#log.info(fields, event);
   }
 
+  /** Changes the level and the limit. */
+  configure(
+    { level, linesPerS }: Pick<DecisionWriterOptions, "level" | "linesPerS">,
+  ): void {
+    this.#log.level(level);
+    this.#linesPerS = linesPerS;
+  }
+
   /** Writes what has been gathered. */
   flush(): void {
     this.#isScheduled = false;
-    if (this.#lines.length === 0) return;
-    const text = this.#lines.join("");
+    const lines = this.#lines;
+    if (lines.length === 0) return;
     this.#lines = [];
-    if (process.stdout.writableLength > maxWaitingBytes) {
-      this.#dropped += Buffer.byteLength(text) > 0 ? 1 : 0;
+    if (this.output.writableLength > maxWaitingBytes) {
+      this.#dropped += lines.length;
       return;
     }
-    process.stdout.write(text);
+    this.output.write(lines.join(""));
   }
 
   #openWindow(now: number): void {
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -4,6 +4,7 @@
 export {
   DecisionWriter,
   type DecisionWriterOptions,
+  type LineOutput,
 } from "./decision_writer.ts";
 export {
   CountedLog,
--- a/test/settings/batch_settings_test.ts
+++ b/test/settings/batch_settings_test.ts
@@ -1,7 +1,10 @@
 /** Settings of a batch entry. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { parseBatchSettings } from "../../src/settings/index.ts";
+import {
+  compareSettings,
+  parseBatchSettings,
+} from "../../src/settings/index.ts";
 
 const good = `
 [entry]
@@ -17,6 +20,19 @@
 [placement]
 `;
 
+describe("a reload of a batch entry's settings", () => {
+  it("tells what is in force and what waits for a restart", () => {
+    const before = parseBatchSettings(good).unwrap();
+    const text = good.replace("127.0.0.1:3", "127.0.0.1:9") +
+      "[log]\nlines_per_s = 20\n";
+    const after = parseBatchSettings(text).unwrap();
+    assert.deepEqual(compareSettings(before, after), {
+      live: ["log.lines_per_s"],
+      atRestart: ["store.address"],
+    });
+  });
+});
+
 describe("settings of a batch entry", () => {
   it("takes defaults for what is left out", () => {
     const settings = parseBatchSettings(good).unwrap();
