Give orders to the provider side by side

Cause: on the grown site pools followed a surge at 37 hosts a second (want 16 -> 139, five seconds): the fleet's owner gave its orders one after another, 12 ms each, and a pass ends when its offers are 350 ms old. An answer 429 no longer keeps the host from moving for 2 s, it ends the pass.

--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -22,6 +22,7 @@
   HostOrderOutcome,
   ListedHost,
 } from "./host_control.ts";
+import { giveOrders } from "./move_orders.ts";
 import {
   type HostMove,
   planSizes,
@@ -102,6 +103,8 @@
   /** Steady time until which a host is not moved. */
   readonly #restUntil = new Map<string, number>();
   #isLoaded = false;
+  /** A renewal of the lease that is on its way. */
+  #renewal: Promise<boolean> | undefined;
 
   constructor(private readonly parts: FleetParts) {
     this.#startAt = parts.clock.now() + handoverMs[parts.previous];
@@ -193,11 +196,9 @@
     const moves = [...planned].sort((a, b) =>
       Number(pending.has(a.host)) - Number(pending.has(b.host))
     );
-    for (const move of moves) {
-      // An offer that was read too long ago may have been withdrawn.
-      if (clock.now() - now > offerFreshnessMs) break;
-      if (!await this.#move(move)) break;
-    }
+    // An offer that was read too long ago may have been withdrawn.
+    const isFresh = () => clock.now() - now <= offerFreshnessMs;
+    await giveOrders(moves, isFresh, (move) => this.#move(move));
   }
 
   /**
@@ -265,10 +266,10 @@
     if (outcome === undefined) return false;
     if (outcome.kind === "done") {
       this.#vacates.takenAway(endpoint, clock.wall());
-    } else {
+    } else if (outcome.kind !== "throttled") {
       this.#restUntil.set(host, clock.now() + rejectedMoveMs);
     }
-    return outcome.kind !== "unknown";
+    return outcome.kind === "done" || outcome.kind === "rejected";
   }
 
   /** Gives an order while the lease is fresh; undefined when it isn't. */
@@ -278,14 +279,23 @@
     ) => Promise<HostOrderOutcome>,
   ): Promise<HostOrderOutcome | undefined> {
     const { clock, lease, entry } = this.parts;
-    if (clock.now() < this.#startAt) return undefined;
-    if (lease.ageMs > orderFreshnessMs) {
-      const renewed = await lease.commit([], []);
-      if (renewed.err) return undefined;
+    if (clock.now() < this.#startAt || !await this.#isLeaseFresh()) {
+      return undefined;
     }
     return await give({ entry, term: lease.term });
   }
 
+  /** Renews the lease when it is old; orders side by side share a renewal. */
+  async #isLeaseFresh(): Promise<boolean> {
+    const { lease } = this.parts;
+    if (lease.ageMs <= orderFreshnessMs) return true;
+    this.#renewal ??= lease.commit([], []).then((renewed) => {
+      this.#renewal = undefined;
+      return renewed.ok;
+    });
+    return await this.#renewal;
+  }
+
   #logOrder(
     event: string,
     host: string,
--- a/src/upkeep/host_control.ts
+++ b/src/upkeep/host_control.ts
@@ -25,6 +25,8 @@
 export type HostOrderOutcome =
   | { readonly kind: "done" }
   | { readonly kind: "rejected"; readonly reason: string }
+  /** Too many orders at once; this one had no effect. */
+  | { readonly kind: "throttled" }
   | { readonly kind: "unknown"; readonly message: string };
 
 /** Calls to the provider. None of them throws. */
--- a/src/upkeep/index.ts
+++ b/src/upkeep/index.ts
@@ -9,6 +9,7 @@
   type SizeView,
 } from "./pool_sizes.ts";
 export * from "./rows.ts";
+export { giveOrders } from "./move_orders.ts";
 export { VacateBook } from "./vacate_book.ts";
 export {
   isWaveComplete,
