--- a/sim/actions.ts
+++ b/sim/actions.ts
@@ -1,7 +1,8 @@
 /** What may happen in a run of the model, as data that can be drawn. */
 import type { JobKind } from "./jobs.ts";
 import { jobOf } from "./jobs.ts";
-import { pools, type World } from "./world.ts";
+import { pools } from "./pools.ts";
+import type { World } from "./world.ts";
 
 /** One event; numbers pick an entry, a host or a job. */
 export type Action =
--- a/sim/jobs.ts
+++ b/sim/jobs.ts
@@ -1,6 +1,6 @@
 /** Jobs for the model, drawn from a seed. */
 import type { JobSpec, StepSpec } from "../src/batch/index.ts";
-import { queueOf } from "./world.ts";
+import { queueOf } from "./pools.ts";
 
 /** Kinds of job that the model's callers send. */
 export const jobKinds = [
--- a/sim/world.ts
+++ b/sim/world.ts
@@ -2,17 +2,13 @@
  * Several entries of the product on a virtual clock, with a model of the
  * store, of the endpoints, of the hosts and of callers, and an oracle.
  */
-import { CatalogHolder, type Queue } from "../src/catalog/index.ts";
+import { CatalogHolder } from "../src/catalog/index.ts";
 import {
   type JobSpec,
   parseTaskName,
   type StepSpec,
 } from "../src/batch/index.ts";
-import {
-  type Advice,
-  EndpointRegistry,
-  type TaskEndpoint,
-} from "../src/endpoint/index.ts";
+import { EndpointRegistry, type TaskEndpoint } from "../src/endpoint/index.ts";
 import { Intake } from "../src/intake/index.ts";
 import { BatchService } from "../src/service/index.ts";
 import { type Row, type Store, TableWatch } from "../src/store/index.ts";
@@ -23,47 +19,27 @@
   OrderHolder,
   Wave,
 } from "../src/upkeep/index.ts";
-import { Ok, type Result } from "ts-results";
+import { Ok } from "ts-results";
 import {
   ModelEndpoint,
   ModelOrders,
   type TaskModel,
 } from "./model_endpoints.ts";
+import { ModelAdvice } from "./model_advice.ts";
 import { ModelStore } from "./model_store.ts";
 import { Oracle } from "./oracle.ts";
+import { pools, queueOf } from "./pools.ts";
 import { hashText, seededRandom } from "./random.ts";
 import { ProcessClock, VirtualClock } from "./virtual_clock.ts";
 
 /** Longest step of the clock, in ms. */
 const stepMs = 10;
 
-/** Time that advice takes, and for which its tickets hold, in ms. */
-const decisionMs = 120;
-const ticketMs = 1_500;
-
 const migrateMs = 1_500;
 const maintenanceMs = 2_000;
 const registrations = "registrations";
 const drift = 0.015;
 
-/** The pools of the model; the last one is in standby. */
-export const pools = ["quotes", "invoices", "spare"] as const;
-
-/** The queue of a pool. */
-export function queueOf(pool: string): Queue {
-  return {
-    name: `${pool}-queue`,
-    authority: "model",
-    prefix: `/${pool}/`,
-    pool,
-    priority: 0,
-    maxAttempts: 3,
-    sloMs: 600,
-    stretch: 2,
-    advised: false,
-  };
-}
-
 /** Size of a model. */
 export interface WorldOptions {
   readonly seed: number;
@@ -100,10 +76,7 @@
   readonly waveStates = new Map<string, string>();
   readonly specs = new Map<string, JobSpec>();
   readonly log: string[] = [];
-  /** Questions to the advice service so far. */
-  adviceCalls = 0;
-  /** Virtual time until which each ticket holds, in ms. */
-  readonly #tickets = new Map<string, number>();
+  readonly advice = new ModelAdvice(this.clock);
   readonly #lives = new Map<string, ModelEndpoint>();
   #serial = 0;
   #boots = 0;
@@ -158,7 +131,7 @@
       },
       store,
       orders,
-      advisor: { advise: (step, ids) => this.#advise(process, step, ids) },
+      advisor: this.advice.connect(process),
       control: this.#control(process),
       board: {
         waves: () => this.waves,
@@ -280,36 +253,6 @@
     return { queue, job: spec.id, deadline: this.clock.now() + limitMs };
   }
 
-  /** Allows about half of the endpoints of each step, for a short time. */
-  async #advise(
-    process: ProcessClock,
-    step: string,
-    endpoints: readonly string[],
-  ): Promise<Result<Advice, string>> {
-    this.adviceCalls++;
-    await new Promise<void>((resolve) => {
-      this.clock.after(decisionMs, resolve);
-    });
-    const tickets = new Map<string, string>();
-    const until = this.clock.now() + ticketMs;
-    for (const id of endpoints) {
-      if (hashText(`${step} ${id}`) % 2 === 0) continue;
-      const ticket = `${step} ${id} ${until}`;
-      tickets.set(id, ticket);
-      this.#tickets.set(ticket, until);
-    }
-    const advice = { tickets, validMs: ticketMs };
-    return await process.deliver(Promise.resolve(Ok(advice)));
-  }
-
-  /** Whether an endpoint takes a ticket for a task now. */
-  #takesTicket(task: string, endpoint: string, ticket: string): boolean {
-    const step = task.slice(0, task.lastIndexOf("."));
-    const until = this.#tickets.get(ticket) ?? 0;
-    return ticket.startsWith(`${step} ${endpoint} `) &&
-      this.clock.now() < until;
-  }
-
   #intake(entry: string): Intake {
     const found = this.entries.get(entry);
     if (found === undefined) throw new Error(`no entry ${entry}`);
@@ -331,7 +274,7 @@
       workMs,
       fails: (run) => poison || run <= failures,
       takes: (endpoint, ticket) =>
-        !spec.advised || this.#takesTicket(task, endpoint, ticket),
+        !spec.advised || this.advice.takes(task, endpoint, ticket),
     };
   }
 
--- /dev/null
+++ b/src/scheduler/placer.ts
@@ -0,0 +1,116 @@
+/**
+ * Carries out the passes of placement of one shard: decides which tasks start
+ * where, notes the intents, and sends the starts once these are committed.
+ */
+import {
+  nextRun,
+  placeTask,
+  taskAt,
+  taskName,
+  type TaskRef,
+} from "../batch/index.ts";
+import type { Clock } from "../clock/index.ts";
+import type { ShardLease } from "../cluster/index.ts";
+import type { VacateState } from "../upkeep/index.ts";
+import type { AdvisedSteps } from "./advised_steps.ts";
+import type { CommitQueue } from "./commit_queue.ts";
+import type { DecisionLog } from "./decision_log.ts";
+import type { EndpointDriver } from "./endpoint_driver.ts";
+import type { HostOffers } from "./host_offers.ts";
+import type { BookedJob, JobBook } from "./job_book.ts";
+import {
+  type EndpointPolicy,
+  type PlannedTask,
+  planStarts,
+} from "./planner.ts";
+import { PutOffList } from "./put_off_list.ts";
+import type { RunTimes } from "./run_times.ts";
+
+/** What the placer works with. */
+export interface PlacerParts {
+  readonly shard: string;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly lease: ShardLease;
+  readonly book: JobBook;
+  readonly commits: CommitQueue;
+  readonly driver: EndpointDriver;
+  readonly offers: HostOffers;
+  readonly advised: AdvisedSteps;
+  readonly times: RunTimes;
+  /** Endpoints whose host is due for maintenance, by id. */
+  readonly vacating: () => ReadonlyMap<string, VacateState>;
+}
+
+/** Places the tasks of one shard. */
+export class Placer {
+  readonly #putOff: PutOffList;
+
+  constructor(private readonly parts: PlacerParts) {
+    this.#putOff = new PutOffList(parts);
+  }
+
+  /** One pass over the jobs that may have tasks to place. */
+  pass(jobs: readonly BookedJob[]): void {
+    const { clock, driver, times, advised } = this.parts;
+    const sessions = driver.sessions();
+    const policy = this.#policy();
+    const planned = planStarts(jobs, sessions, policy, {
+      now: clock.now(),
+      wall: clock.wall(),
+      times,
+      putOff: this.#putOff.current(jobs, sessions),
+    });
+    // Gang members share a run, so numbers are drawn before any is placed.
+    const runs = planned.map(({ job, ref }) =>
+      nextRun(job.progress, job.spec, ref)
+    );
+    planned.forEach((task, i) => this.#place(task, runs[i]));
+    advised.review(jobs, sessions, policy.isClosed);
+  }
+
+  #policy(): EndpointPolicy {
+    const { clock, offers, advised } = this.parts;
+    const now = clock.now();
+    const vacating = this.parts.vacating();
+    return {
+      isClosed: (id: string) => vacating.has(id) || offers.isClosed(id, now),
+      isUnsettled: (id: string) => offers.isUnsettled(id, now),
+      lacksTicket: (job: BookedJob, ref: TaskRef, id: string) =>
+        advised.ticketFor(job, ref, id) === undefined,
+    };
+  }
+
+  #place({ job, ref, endpoint: id }: PlannedTask, run: number): void {
+    const { clock, driver, book, advised, commits } = this.parts;
+    const session = driver.session(id);
+    if (session === undefined) return;
+    const { life } = session.endpoint;
+    const placement = { run, endpoint: id, life };
+    const progress = placeTask(job.progress, ref, placement);
+    book.update(job, progress, clock.now());
+    const checkpoint = taskAt(progress, ref)?.checkpoint ?? "";
+    const ticket = advised.ticketFor(job, ref, id) ?? "";
+    this.#tell(job, ref, id, run);
+    const intended = { checkpoint, ticket };
+    const started = driver.intend(session, job.spec, ref, run, intended);
+    commits.then(() => driver.runs.start(session, started));
+  }
+
+  #tell(job: BookedJob, ref: TaskRef, endpoint: string, run: number): void {
+    const { clock, log, shard, lease, times } = this.parts;
+    const { spec } = job;
+    log.decision("task-placed", {
+      job: spec.id,
+      task: taskName(spec.id, ref),
+      run,
+      endpoint,
+      shard,
+      term: lease.term,
+      ageMs: Math.round(clock.wall() - spec.acceptedAt),
+      expectedMs: Math.round(
+        times.expectedMs(spec.queue, spec.steps[ref.step]),
+      ),
+    });
+  }
+}
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -16,10 +16,8 @@
   inboxTable,
   isFinal,
   learnedKey,
-  nextRun,
   onlyKey,
   placedTasks,
-  placeTask,
   progressKey,
   progressRange,
   type RunEnd,
@@ -43,10 +41,9 @@
 import { EndpointDriver } from "./endpoint_driver.ts";
 import type { Run } from "./endpoint_session.ts";
 import { type BookedJob, JobBook } from "./job_book.ts";
-import { PutOffList } from "./put_off_list.ts";
 import type { ShardParts } from "./shard_parts.ts";
 import { ShardReports } from "./shard_reports.ts";
-import { planStarts } from "./planner.ts";
+import { Placer } from "./placer.ts";
 import { RunTimes } from "./run_times.ts";
 
 /** How long a poll of the inbox waits for a new job, in ms. */
@@ -80,7 +77,7 @@
   #lastPlanAt = -Infinity;
   readonly #demand: DemandReporter;
   readonly #times = new RunTimes();
-  readonly #putOff: PutOffList;
+  readonly #placer: Placer;
   readonly #reports: ShardReports;
   readonly #advised: AdvisedSteps;
   #stopped = false;
@@ -109,7 +106,6 @@
       ...parts,
       changed: () => this.wantPlan(),
     });
-    this.#putOff = new PutOffList({ ...parts, times: this.#times });
     this.#reports = new ShardReports(shard, {
       counts: () => JSON.stringify(this.book.waiting()),
       learned: () => this.#times.encode(),
@@ -127,6 +123,15 @@
       changed: () => this.wantPlan(),
       fenced: () => this.#lose("fenced by an endpoint"),
     });
+    this.#placer = new Placer({
+      ...parts,
+      book: this.book,
+      commits: this.commits,
+      driver: this.driver,
+      offers: this.#demand.offers,
+      advised: this.#advised,
+      times: this.#times,
+    });
     this.#caretaker = new Caretaker({
       ...parts,
       book: this.book,
@@ -261,61 +266,8 @@
   #plan(): void {
     this.#planWanted = false;
     if (this.#stopped) return;
-    const { clock } = this.parts;
-    const now = clock.now();
-    this.#lastPlanAt = now;
-    const jobs = this.#activeJobs();
-    const vacating = this.parts.vacating();
-    const policy = {
-      isClosed: (id: string) =>
-        vacating.has(id) || this.#demand.offers.isClosed(id, now),
-      isUnsettled: (id: string) => this.#demand.offers.isUnsettled(id, now),
-      lacksTicket: (job: BookedJob, ref: TaskRef, id: string) =>
-        this.#advised.ticketFor(job, ref, id) === undefined,
-    };
-    const time = {
-      now,
-      wall: clock.wall(),
-      times: this.#times,
-      putOff: this.#putOff.current(jobs, this.driver.sessions()),
-    };
-    const planned = planStarts(jobs, this.driver.sessions(), policy, time);
-    // Gang members share a run, so numbers are drawn before any is placed.
-    const runs = planned.map(({ job, ref }) =>
-      nextRun(job.progress, job.spec, ref)
-    );
-    planned.forEach(({ job, ref, endpoint }, i) =>
-      this.#place(job, ref, endpoint, runs[i])
-    );
-    this.#advised.review(jobs, this.driver.sessions(), policy.isClosed);
-  }
-
-  #place(job: BookedJob, ref: TaskRef, id: string, run: number): void {
-    const { clock, log, shard, lease } = this.parts;
-    const session = this.driver.session(id);
-    if (session === undefined) return;
-    const { life } = session.endpoint;
-    const placement = { run, endpoint: id, life };
-    const progress = placeTask(job.progress, ref, placement);
-    this.book.update(job, progress, clock.now());
-    const checkpoint = taskAt(progress, ref)?.checkpoint ?? "";
-    const ticket = this.#advised.ticketFor(job, ref, id) ?? "";
-    const step = job.spec.steps[ref.step];
-    log.decision("task-placed", {
-      job: job.spec.id,
-      task: taskName(job.spec.id, ref),
-      run,
-      endpoint: id,
-      shard,
-      term: lease.term,
-      ageMs: Math.round(clock.wall() - job.spec.acceptedAt),
-      expectedMs: Math.round(this.#times.expectedMs(job.spec.queue, step)),
-    });
-    const started = this.driver.intend(session, job.spec, ref, run, {
-      checkpoint,
-      ticket,
-    });
-    this.commits.then(() => this.driver.runs.start(session, started));
+    this.#lastPlanAt = this.parts.clock.now();
+    this.#placer.pass(this.#activeJobs());
   }
 
   /** Whether a run that was intended should still start. */
--- a/test/scheduler/ticket_book_test.ts
+++ b/test/scheduler/ticket_book_test.ts
@@ -88,7 +88,7 @@
     const rejected = world.log.filter((line) => line.includes("no-ticket"));
     assert.deepEqual(rejected, []);
     // Three steps a job; some ask again once further endpoints are needed.
-    assert.ok(world.adviceCalls <= 3 * count * 2, `${world.adviceCalls}`);
+    assert.ok(world.advice.calls <= 3 * count * 2, `${world.advice.calls}`);
     for (const { process } of world.entries.values()) process.kill();
   });
 });
