--- a/test/scheduler/endpoint_session_test.ts
+++ b/test/scheduler/endpoint_session_test.ts
@@ -1,44 +1,12 @@
 /** What an owner concludes from an endpoint's lists. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { plainStep } from "../../sim/jobs.ts";
 import type { EndpointLists } from "../../src/endpoint/index.ts";
-import { EndpointSession, type Run } from "../../src/scheduler/index.ts";
+import { EndpointSession } from "../../src/scheduler/index.ts";
+import { endpoint, newRun as run } from "./sessions.ts";
 
 function newSession(): EndpointSession {
-  return new EndpointSession({
-    id: "e",
-    address: "e",
-    pool: "p",
-    zone: "z",
-    life: 7,
-    capacity: { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 },
-    labels: [],
-    draining: false,
-    host: "h",
-  }, 0);
-}
-
-function run(phase: Run["phase"], changes: Partial<Run> = {}): Run {
-  return {
-    name: "job.0.0.0",
-    job: "job",
-    ref: { occurrence: 0, step: 0, index: 0 },
-    run: 2,
-    step: plainStep(1, []),
-    payload: "",
-    phase,
-    changedAt: 100,
-    begunAt: 100,
-    ticket: "",
-    stoppedAt: undefined,
-    percent: 0,
-    progressedAt: 100,
-    load: undefined,
-    pace: 100,
-    checkpoint: "",
-    ...changes,
-  };
+  return new EndpointSession(endpoint("e"), 0);
 }
 
 const empty: EndpointLists = { clockMs: 0, life: 7, running: [], ended: [] };
--- a/test/scheduler/host_offers_test.ts
+++ b/test/scheduler/host_offers_test.ts
@@ -2,26 +2,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { HostOffers } from "../../src/scheduler/host_offers.ts";
-import { EndpointSession } from "../../src/scheduler/index.ts";
+import { openSession } from "./sessions.ts";
 
-function session(id: string): EndpointSession {
-  const created = new EndpointSession({
-    id,
-    address: id,
-    pool: "p",
-    zone: "z",
-    life: 1,
-    capacity: { cpuMillis: 1_000, memoryMb: 1_000, gpus: 0 },
-    labels: [],
-    draining: false,
-    host: id,
-  }, 0);
-  created.fenced = true;
-  created.readClock(0, 0);
-  return created;
-}
-
-const sessions = ["a", "b", "c"].map(session);
+const sessions = ["a", "b", "c"].map((id) => openSession(id));
 
 describe("offers of empty endpoints", () => {
   describe("when the pool needs fewer", () => {
--- /dev/null
+++ b/test/scheduler/sessions.ts
@@ -0,0 +1,60 @@
+/** Sessions and runs for the tests of the scheduler's decisions. */
+import { plainStep } from "../../sim/jobs.ts";
+import type { TaskEndpoint } from "../../src/endpoint/index.ts";
+import { EndpointSession, type Run } from "../../src/scheduler/index.ts";
+
+/** An endpoint of four cores. */
+export function endpoint(
+  id: string,
+  changes: Partial<TaskEndpoint> = {},
+): TaskEndpoint {
+  return {
+    id,
+    address: id,
+    pool: "p",
+    zone: "z",
+    life: 7,
+    capacity: { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 },
+    labels: ["a", "r1"],
+    draining: false,
+    host: id,
+    ...changes,
+  };
+}
+
+/** A session that may get work. */
+export function openSession(
+  id: string,
+  changes: Partial<TaskEndpoint> = {},
+): EndpointSession {
+  const session = new EndpointSession(endpoint(id, changes), 0);
+  session.fenced = true;
+  session.readClock(0, 0);
+  return session;
+}
+
+/** A run of the job's first task. */
+export function newRun(
+  phase: Run["phase"],
+  changes: Partial<Run> = {},
+): Run {
+  return {
+    name: "job.0.0.0",
+    job: "job",
+    ref: { occurrence: 0, step: 0, index: 0 },
+    run: 2,
+    step: plainStep(1, []),
+    payload: "",
+    phase,
+    changedAt: 100,
+    begunAt: 100,
+    ticket: "",
+    stoppedAt: undefined,
+    percent: 0,
+    progressedAt: 100,
+    load: undefined,
+    pace: 100,
+    checkpoint: "",
+    ...changes,
+  };
+}
