--- a/test/platform/http_json_test.ts
+++ b/test/platform/http_json_test.ts
@@ -8,6 +8,21 @@
 /** Time limit of the call that gets no answer, in ms. */
 const timeoutMs = 100;
 
+describe("a call to a port without a listener", () => {
+  it("says that nothing was sent", async () => {
+    const server = createServer().listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    server.close();
+    await once(server, "close");
+    const http = new JsonHttp(`127.0.0.1:${port}`, 1);
+    const answer = await http.call({ method: "GET", path: "/", timeoutMs });
+    assert.equal(answer.status, undefined);
+    assert.equal(answer.status === undefined && answer.notSent, true);
+    await http.close();
+  });
+});
+
 describe("a call that gets no answer in time", () => {
   const server = createServer();
   let accepted: Socket | undefined;
