Keep the rows of a followed table in one place; take out what is dead

Two watches kept a map of their table by hand, line for line alike; keepRows in src/store/table_watch.ts serves both. The comments of a slot's counts say what they count.

--- a/src/scheduler/job_rank.ts
+++ b/src/scheduler/job_rank.ts
@@ -1,5 +1,5 @@
 /** Ranks and due work of the jobs that a shard's owner has booked. */
-import { isLongRunning, isStepDone, type StepSpec } from "../batch/index.ts";
+import { isLongRunning, isStepDone } from "../batch/index.ts";
 import type { DueWork } from "./feasible.ts";
 import type { BookedJob } from "./job_book.ts";
 import { onTimeTier, type Rank, rankOf } from "./order.ts";
@@ -43,17 +43,16 @@
   const rank = rankOfJob(job, occurrence, wall, times);
   const tasks = progress.open.get(occurrence);
   if (rank.tier !== onTimeTier || tasks === undefined) return undefined;
-  const each = (step: StepSpec) =>
-    step.demand.cpuMillis * times.expectedMs(spec.queue, step);
   let running = 0;
   let waiting = 0;
   let size = 0;
   spec.steps.forEach((step, i) => {
+    const each = step.demand.cpuMillis * times.expectedMs(spec.queue, step);
     for (const { done, placement } of tasks[i]) {
-      size += each(step);
+      size += each;
       if (done) continue;
-      if (placement !== undefined) running += runningShare * each(step);
-      else waiting += each(step);
+      if (placement !== undefined) running += runningShare * each;
+      else waiting += each;
     }
   });
   const key = occurrenceKey(spec.id, occurrence);
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -24,12 +24,12 @@
 const lateFactor = 3;
 
 /** Expected run time of a step's tasks in ms; 0 for a step that is done. */
-export type StepTime = (step: StepSpec, index: number) => number;
+type StepTime = (step: StepSpec, index: number) => number;
 
 /** Length of the longest chain of steps, in ms. */
-export function longestChainMs(
+function longestChainMs(
   steps: readonly StepSpec[],
-  timeOf: StepTime = (step) => step.estimateMs,
+  timeOf: StepTime,
 ): number {
   const ends: number[] = [];
   steps.forEach((step, i) => {
--- a/src/scheduler/slot.ts
+++ b/src/scheduler/slot.ts
@@ -32,8 +32,9 @@
   readonly capacity: Resources;
   readonly suspicion: number;
   used: Resources;
-  /** Runs that end, by step and occurrence. */
+  /** Runs by step and occurrence, `JOB.OCCURRENCE.STEP`. */
   #steps = new Map<string, number>();
+  /** Runs that are not long-running, and those that the pass has placed. */
   #runs = 0;
 
   constructor(
@@ -54,7 +55,7 @@
     }
   }
 
-  /** Tasks there that are not long-running. */
+  /** How many runs count against an endpoint that is tried again. */
   get runs(): number {
     return this.#runs;
   }
--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -7,7 +7,7 @@
 import { ActorSystem } from "../actors/index.ts";
 import { delay } from "../clock/index.ts";
 import { Intake } from "../intake/index.ts";
-import { TableWatch } from "../store/index.ts";
+import { keepRows, TableWatch } from "../store/index.ts";
 import {
   decodeVacate,
   fleetShard,
@@ -90,21 +90,12 @@
     for (const table of this.parts.followed) {
       this.#actors.loop(table.name, () => this.#follow(table));
     }
-    const vacate = new TableWatch(this.parts.store, vacateTable, [fleetShard], {
-      reset: (rows) => {
-        this.#vacating.clear();
-        for (const row of rows) {
-          this.#vacating.set(row.key, decodeVacate(row.value));
-        }
-      },
-      changed: (changes) => {
-        for (const change of changes) {
-          const { key } = change.row;
-          if (change.kind === "removed") this.#vacating.delete(key);
-          else this.#vacating.set(key, decodeVacate(change.row.value));
-        }
-      },
-    });
+    const vacate = new TableWatch(
+      this.parts.store,
+      vacateTable,
+      [fleetShard],
+      keepRows(this.#vacating, ({ value }) => decodeVacate(value)),
+    );
     this.#actors.loop(
       "vacate",
       () =>
--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -17,6 +17,7 @@
 } from "../cluster/index.ts";
 import { ShardOwner } from "../scheduler/index.ts";
 import {
+  keepRows,
   parseJson,
   partitionOf,
   partitionsOf,
@@ -89,19 +90,12 @@
     this.#startedAt = parts.clock.now();
     this.#releasedAt = this.#startedAt;
     const partitions = partitionsOf(membersTable);
-    this.#members = new TableWatch(parts.store, membersTable, partitions, {
-      reset: (rows) => {
-        this.#memberRows.clear();
-        for (const row of rows) this.#memberRows.set(row.key, row);
-      },
-      changed: (changes) => {
-        for (const change of changes) {
-          const { key } = change.row;
-          if (change.kind === "removed") this.#memberRows.delete(key);
-          else this.#memberRows.set(key, change.row);
-        }
-      },
-    });
+    this.#members = new TableWatch(
+      parts.store,
+      membersTable,
+      partitions,
+      keepRows(this.#memberRows, (row) => row),
+    );
   }
 
   get size(): number {
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -2,4 +2,4 @@
 export * from "./store.ts";
 export { parseJson } from "./json_row.ts";
 export { partitionOf, partitionsOf } from "./partitions.ts";
-export { TableWatch, type WatchHandler } from "./table_watch.ts";
+export { keepRows, TableWatch, type WatchHandler } from "./table_watch.ts";
--- a/src/store/table_watch.ts
+++ b/src/store/table_watch.ts
@@ -13,6 +13,25 @@
   changed(changes: readonly RowChange[]): void;
 }
 
+/** A handler that keeps a map of the table's rows, decoded, by their keys. */
+export function keepRows<T>(
+  rows: Map<string, T>,
+  decode: (row: Row) => T,
+): WatchHandler {
+  return {
+    reset: (all) => {
+      rows.clear();
+      for (const row of all) rows.set(row.key, decode(row));
+    },
+    changed: (changes) => {
+      for (const change of changes) {
+        if (change.kind === "removed") rows.delete(change.row.key);
+        else rows.set(change.row.key, decode(change.row));
+      }
+    },
+  };
+}
+
 /** A position in a table's history. */
 export class TableWatch {
   #version: number | undefined;
