Sort the steps that wait, not their tasks, and bound what passes spend

Ruled out: lack of hosts (270 of 380 were in the pool by second 8) and the store (its commits went through).

A pass now ranks and sorts steps instead of tasks, keeps the times of occurrences whose tasks are unchanged, leaves out steps that ask for as much as one that found no place, and counts the runs of an endpoint by step only where a step asks. The demand is counted by steps.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -2,7 +2,7 @@
  * Processor time of one pass of placement: waiting tasks over endpoints, of
  * which a part has room.
  */
-import { jobOf } from "../sim/jobs.ts";
+import { jobOf, plainStep } from "../sim/jobs.ts";
 import { openOccurrence } from "../src/batch/index.ts";
 import {
   type BookedJob,
@@ -14,12 +14,16 @@
 
 const repetitions = 20;
 const sizes = [
-  { tasks: 100, endpoints: 8 },
-  { tasks: 1_000, endpoints: 30 },
-  { tasks: 1_000, endpoints: 300 },
+  { tasks: 100, endpoints: 8, free: 8 },
+  { tasks: 1_000, endpoints: 30, free: 30 },
+  { tasks: 1_000, endpoints: 300, free: 300 },
+  { tasks: 12_000, endpoints: 270, free: 5 },
 ];
 
-function session(index: number): EndpointSession {
+/** Runs of an endpoint that is full. */
+const runsWhenFull = 8;
+
+function session(index: number, isFull: boolean): EndpointSession {
   const created = new EndpointSession({
     id: `endpoint-${index}`,
     address: "",
@@ -33,9 +37,37 @@
   }, 0);
   created.fenced = true;
   created.readClock(0, 0);
+  if (isFull) fill(created, index);
   return created;
 }
 
+function fill(created: EndpointSession, index: number): void {
+  const { capacity } = created.endpoint;
+  const cpuMillis = capacity.cpuMillis / runsWhenFull;
+  for (let i = 0; i < runsWhenFull; i++) {
+    const job = `running-${index}-${i}`;
+    const demand = { cpuMillis, memoryMb: 256, gpus: 0 };
+    created.add({
+      name: `${job}.0.0.0`,
+      job,
+      ref: { occurrence: 0, step: 0, index: 0 },
+      run: 1,
+      step: { ...plainStep(1, []), demand },
+      payload: "",
+      phase: "running",
+      changedAt: 0,
+      begunAt: 0,
+      stoppedAt: undefined,
+      percent: 0,
+      progressedAt: 0,
+      load: undefined,
+      pace: 100,
+      checkpoint: "",
+      ticket: "",
+    });
+  }
+}
+
 function jobs(tasks: number): readonly BookedJob[] {
   const book = new JobBook();
   const perJob = 8;
@@ -62,22 +94,26 @@
     isUnsettled: () => false,
     lacksTicket: () => false,
   };
-  const rows = sizes.map(({ tasks, endpoints }) => {
+  const rows = sizes.map(({ tasks, endpoints, free }) => {
     const waiting = jobs(tasks);
-    const sessions = Array.from({ length: endpoints }, (_, i) => session(i));
+    const runTimes = new RunTimes();
+    const sessions = Array.from(
+      { length: endpoints },
+      (_, i) => session(i, i >= free),
+    );
     const times = Array.from({ length: repetitions }, () => {
       const startedAt = performance.now();
       const time = {
         now: 0,
         wall: 100,
-        times: new RunTimes(),
+        times: runTimes,
         putOff: new Set<string>(),
       };
       planStarts(waiting, sessions, policy, time);
       return performance.now() - startedAt;
     }).sort((a, b) => a - b);
     const medianMs = Number(times[repetitions / 2].toFixed(2));
-    return { tasks, endpoints, medianMs };
+    return { tasks, endpoints, free, medianMs };
   });
   for (const row of rows) console.log(JSON.stringify(row));
   return Promise.resolve({ rows });
--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -259,18 +259,36 @@
   p: Progress,
   spec: JobSpec,
 ): readonly TaskRef[] {
+  return readySteps(p, spec).flatMap(({ occurrence, step, tasks }) =>
+    tasks.flatMap((task, index) =>
+      isWaiting(task) ? [{ occurrence, step, index }] : []
+    )
+  );
+}
+
+/** A step of an open occurrence whose tasks may run now. */
+export interface ReadyStep {
+  readonly occurrence: number;
+  readonly step: number;
+  readonly tasks: readonly TaskState[];
+}
+
+/** The steps whose tasks may run now and are not all done. */
+export function readySteps(p: Progress, spec: JobSpec): readonly ReadyStep[] {
   if (isFinal(p.phase)) return [];
-  const refs: TaskRef[] = [];
+  const ready: ReadyStep[] = [];
   for (const [occurrence, steps] of p.open) {
     steps.forEach((tasks, step) => {
-      if (!isStepReady(spec, steps, step)) return;
-      tasks.forEach((task, index) => {
-        if (task.done || task.placement !== undefined) return;
-        refs.push({ occurrence, step, index });
-      });
+      if (isStepDone(steps, step) || !isStepReady(spec, steps, step)) return;
+      ready.push({ occurrence, step, tasks });
     });
   }
-  return refs;
+  return ready;
+}
+
+/** Whether a task waits for a place. */
+export function isWaiting({ done, placement }: TaskState): boolean {
+  return !done && placement === undefined;
 }
 
 /** Whether a task of the job has ever started. */
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -8,17 +8,10 @@
  * the work that arrives in a second: a surge shows in the arrivals before its
  * tasks have piled up.
  */
-import {
-  isFinal,
-  isStepReady,
-  type JobSpec,
-  type Resources,
-  startableTasks,
-  type TaskRef,
-} from "../batch/index.ts";
+import { type JobSpec, readySteps, type Resources } from "../batch/index.ts";
 import type { EndpointSession } from "./endpoint_session.ts";
 import type { BookedJob } from "./job_book.ts";
-import { addResources, roomOf } from "./place.ts";
+import { addResources, multiplyResources, roomOf } from "./place.ts";
 import type { RunTimes } from "./run_times.ts";
 
 /** Share of a host that can be filled, as tasks leave gaps. */
@@ -103,46 +96,31 @@
 export type IsLate = (job: BookedJob, occurrence: number) => boolean;
 
 /** Room of tasks that run or wait, late ones by a part of theirs. */
-function roomAsked(
-  jobs: readonly BookedJob[],
-  sessions: readonly EndpointSession[],
-  isLate: IsLate,
-): Resources {
-  const byId = new Map(jobs.map((job) => [job.spec.id, job]));
+function roomAsked(jobs: readonly BookedJob[], isLate: IsLate): Resources {
   let onTime = nothing;
   let late = nothing;
-  const count = (job: BookedJob, ref: TaskRef) => {
-    const room = roomOf(job.spec.steps[ref.step]);
-    if (isLate(job, ref.occurrence)) late = addResources(late, room);
-    else onTime = addResources(onTime, room);
-  };
   for (const job of jobs) {
-    for (const ref of startableTasks(job.progress, job.spec)) count(job, ref);
-  }
-  for (const { runs } of sessions) {
-    for (const run of runs.values()) {
-      const job = byId.get(run.job);
-      if (job !== undefined) count(job, run.ref);
+    const { progress, spec } = job;
+    for (const { occurrence, step, tasks } of readySteps(progress, spec)) {
+      const open = tasks.filter((task) => !task.done).length;
+      const room = multiplyResources(roomOf(spec.steps[step]), open);
+      if (isLate(job, occurrence)) late = addResources(late, room);
+      else onTime = addResources(onTime, room);
     }
   }
-  return {
-    cpuMillis: onTime.cpuMillis + late.cpuMillis * lateShare,
-    memoryMb: onTime.memoryMb + late.memoryMb * lateShare,
-    gpus: onTime.gpus + late.gpus,
-  };
+  const counted = multiplyResources(late, lateShare);
+  return addResources(onTime, { ...counted, gpus: late.gpus });
 }
 
 /** Fewest endpoints that the spreading of any step asks for. */
 function minEndpoints(jobs: Iterable<BookedJob>): number {
   let most = 0;
   for (const { progress, spec } of jobs) {
-    if (isFinal(progress.phase)) continue;
-    for (const tasks of progress.open.values()) {
-      spec.steps.forEach((step, i) => {
-        if (step.maxPerEndpoint <= 0 || !isStepReady(spec, tasks, i)) return;
-        const left = tasks[i].filter((task) => !task.done).length;
-        most = Math.max(most, Math.ceil(left / step.maxPerEndpoint));
-      });
+    for (const { step, tasks } of readySteps(progress, spec)) {
+      const { maxPerEndpoint } = spec.steps[step];
+      if (maxPerEndpoint <= 0) continue;
+      const open = tasks.filter((task) => !task.done).length;
+      most = Math.max(most, Math.ceil(open / maxPerEndpoint));
     }
   }
   return most;
@@ -155,7 +133,7 @@
   arrivingCpuMillis: number,
   isLate: IsLate,
 ): number {
-  const room = roomAsked(jobs, sessions, isLate);
+  const room = roomAsked(jobs, isLate);
   const capacity = sessions[0]?.endpoint.capacity;
   const spread = minEndpoints(jobs);
   if (capacity === undefined) return Math.max(minHosts, spread);
--- a/src/scheduler/job_rank.ts
+++ b/src/scheduler/job_rank.ts
@@ -1,10 +1,27 @@
 /** Ranks and due work of the jobs that a shard's owner has booked. */
-import { isLongRunning, isStepDone } from "../batch/index.ts";
+import {
+  isLongRunning,
+  isStepDone,
+  type JobSpec,
+  type OccurrenceTasks,
+} from "../batch/index.ts";
 import type { DueWork } from "./feasible.ts";
 import type { BookedJob } from "./job_book.ts";
-import { onTimeTier, type Rank, rankOf } from "./order.ts";
+import {
+  type OccurrenceTimes,
+  onTimeTier,
+  type Rank,
+  rankAt,
+  timesOf,
+} from "./order.ts";
 import type { RunTimes } from "./run_times.ts";
 
+/**
+ * Runs after which expected times are worked out anew: a small part of the
+ * memory that they are averages over.
+ */
+const runsUntilStale = 4;
+
 /** Share of a run's work that is left on average while it runs. */
 const runningShare = 0.5;
 
@@ -13,6 +30,37 @@
   return `${job}.${occurrence}`;
 }
 
+interface KnownTimes extends OccurrenceTimes {
+  /** Revision of the run times that they were worked out from. */
+  readonly revision: number;
+}
+
+/**
+ * Times of occurrences by the value of their tasks. Thousands of jobs wait in
+ * an overload, and a pass looks at each of them; only those whose tasks have
+ * changed are worked out again.
+ */
+const knownTimes = new WeakMap<OccurrenceTasks, KnownTimes>();
+
+function timesOfJob(
+  spec: JobSpec,
+  occurrence: number,
+  tasks: OccurrenceTasks,
+  times: RunTimes,
+): OccurrenceTimes {
+  const { revision } = times;
+  const known = knownTimes.get(tasks);
+  if (known !== undefined && revision - known.revision < runsUntilStale) {
+    return known;
+  }
+  const found = timesOf(spec, occurrence, {
+    expectedMs: (step) => times.expectedMs(spec.queue, step),
+    isDone: (step) => step < tasks.length && isStepDone(tasks, step),
+  });
+  knownTimes.set(tasks, { ...found, revision });
+  return found;
+}
+
 /** The rank of a booked job's occurrence at the wall-clock time `wall`. */
 export function rankOfJob(
   { spec, progress }: BookedJob,
@@ -20,12 +68,8 @@
   wall: number,
   times: RunTimes,
 ): Rank {
-  const tasks = progress.open.get(occurrence);
-  return rankOf(spec, occurrence, {
-    now: wall,
-    expectedMs: (step) => times.expectedMs(spec.queue, step),
-    isDone: (step) => tasks !== undefined && isStepDone(tasks, step),
-  });
+  const tasks = progress.open.get(occurrence) ?? [];
+  return rankAt(spec, timesOfJob(spec, occurrence, tasks, times), wall);
 }
 
 interface SizedWork extends DueWork {
--- /dev/null
+++ b/src/scheduler/missed_demands.ts
@@ -0,0 +1,45 @@
+/**
+ * Steps that found no place in a pass of placement, so that a later one that
+ * asks for as much is not tried: in an overload a pass would otherwise look at
+ * every endpoint for each of the steps that wait.
+ */
+import type { JobSpec, Resources, StepSpec } from "../batch/index.ts";
+import { roomOf } from "./place.ts";
+
+/**
+ * Whether a step takes any endpoint with room for it. One that asks for a
+ * label, a spread, tickets or settled endpoints may miss where others fit.
+ */
+function takesAnyEndpoint({ advised }: JobSpec, step: StepSpec): boolean {
+  return !advised && step.label === "" && step.maxPerEndpoint <= 0 &&
+    !step.gang &&
+    step.maxUnavailable === undefined;
+}
+
+function asksForAsMuch(a: Resources, b: Resources): boolean {
+  return a.cpuMillis >= b.cpuMillis && a.memoryMb >= b.memoryMb &&
+    a.gpus >= b.gpus;
+}
+
+/** What missed a place in one pass; room only shrinks while it goes on. */
+export class MissedDemands {
+  readonly #missed: Resources[] = [];
+  #count = 0;
+
+  /** Number of steps that were tried and missed. */
+  get count(): number {
+    return this.#count;
+  }
+
+  /** Notes that a task of the step found no place. */
+  add(spec: JobSpec, step: StepSpec): void {
+    this.#count++;
+    if (takesAnyEndpoint(spec, step)) this.#missed.push(roomOf(step));
+  }
+
+  /** Whether the step would miss as well. */
+  includes(step: StepSpec): boolean {
+    const demand = roomOf(step);
+    return this.#missed.some((missed) => asksForAsMuch(demand, missed));
+  }
+}
--- a/src/scheduler/order.ts
+++ b/src/scheduler/order.ts
@@ -17,7 +17,6 @@
   isLongRunning,
   type JobSpec,
   type StepSpec,
-  type TaskRef,
 } from "../batch/index.ts";
 
 /** A job's late benefit ends at this multiple of its objective. */
@@ -39,7 +38,10 @@
   return Math.max(0, ...ends);
 }
 
-/** Tier of a job that can be on time; a lasting one has 0. */
+/** Tier of a job that lasts. */
+const lastingTier = 0;
+
+/** Tier of a job that can be on time. */
 export const onTimeTier = 1;
 
 /** Tier of a job that can only be late. */
@@ -59,36 +61,51 @@
   readonly finishBy: number;
 }
 
-/** What a rank is worked out from, besides the job. */
-export interface RankView {
-  /** Wall-clock time in ms. */
-  readonly now: number;
+/** What an occurrence's times are worked out from, besides the job. */
+export interface TimesView {
   /** Expected run time of a task of a step in ms. */
   readonly expectedMs: (step: StepSpec) => number;
   /** Whether a step of the occurrence is done. */
   readonly isDone: (step: number) => boolean;
 }
 
-/** The rank of an occurrence. */
-export function rankOf(
+/** When an occurrence began, and what it takes; wall-clock times, in ms. */
+export interface OccurrenceTimes {
+  readonly begins: number;
+  /** Time from its beginning within which it is on time. */
+  readonly objective: number;
+  /** Expected time until its end, were all that is left to start now. */
+  readonly left: number;
+}
+
+/** The times of an occurrence, whatever the time is now. */
+export function timesOf(
   spec: JobSpec,
   occurrence: number,
-  { now, expectedMs, isDone }: RankView,
-): Rank {
-  const { priority } = spec;
+  { expectedMs, isDone }: TimesView,
+): OccurrenceTimes {
   const begins = spec.schedule === undefined
     ? spec.acceptedAt
     : dueAt(spec, occurrence);
-  if (isLongRunning(spec)) {
-    return { priority, tier: 0, deadline: begins, finishBy: Infinity };
-  }
+  if (isLongRunning(spec)) return { begins, objective: Infinity, left: 0 };
   const whole = longestChainMs(spec.steps, expectedMs);
   const left = longestChainMs(
     spec.steps,
     (step, i) => isDone(i) ? 0 : expectedMs(step),
   );
-  const objective = spec.sloMs + spec.stretch * whole;
+  return { begins, objective: spec.sloMs + spec.stretch * whole, left };
+}
+
+/** The rank of an occurrence at the wall-clock time `now`, in ms. */
+export function rankAt(
+  { priority }: JobSpec,
+  { begins, objective, left }: OccurrenceTimes,
+  now: number,
+): Rank {
   const finishBy = begins + objective;
+  if (objective === Infinity) {
+    return { priority, tier: lastingTier, deadline: begins, finishBy };
+  }
   const onTime = finishBy - left;
   if (now <= onTime) {
     return { priority, tier: onTimeTier, deadline: onTime, finishBy };
@@ -107,10 +124,3 @@
 export function compareRanks(a: Rank, b: Rank): number {
   return a.priority - b.priority || a.tier - b.tier || a.deadline - b.deadline;
 }
-
-/** A task that waits for a place. */
-export interface WaitingTask {
-  readonly spec: JobSpec;
-  readonly ref: TaskRef;
-  readonly rank: Rank;
-}
--- a/src/scheduler/place.ts
+++ b/src/scheduler/place.ts
@@ -37,6 +37,15 @@
   };
 }
 
+/** An amount several times. */
+export function multiplyResources(a: Resources, times: number): Resources {
+  return {
+    cpuMillis: a.cpuMillis * times,
+    memoryMb: a.memoryMb * times,
+    gpus: a.gpus * times,
+  };
+}
+
 /** Difference of two amounts. */
 export function subtractResources(a: Resources, b: Resources): Resources {
   return {
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -4,7 +4,9 @@
  * which the caller takes as the plan is carried out.
  */
 import {
-  startableTasks,
+  isWaiting,
+  type ReadyStep,
+  readySteps,
   stepName,
   taskName,
   type TaskRef,
@@ -12,7 +14,8 @@
 import type { BookedJob } from "./job_book.ts";
 import type { EndpointSession } from "./endpoint_session.ts";
 import { occurrenceKey, rankOfJob } from "./job_rank.ts";
-import { compareRanks, putOff, type WaitingTask } from "./order.ts";
+import { MissedDemands } from "./missed_demands.ts";
+import { compareRanks, putOff, type Rank } from "./order.ts";
 import { choosePlace } from "./place.ts";
 import type { RunTimes } from "./run_times.ts";
 import { Slot, type TaskView } from "./slot.ts";
@@ -50,7 +53,7 @@
 /** Most tasks that one pass places; the rest waits for the next pass. */
 const maxPlannedTasks = 300;
 
-/** Waiting tasks that may miss a place in a row before a pass ends. */
+/** Steps that may miss a place before a pass ends. */
 const maxMisses = 60;
 
 function openSlots(
@@ -65,31 +68,50 @@
     if (!session.isOpen || session.fullUntil > now) continue;
     if (policy.isClosed(id)) continue;
     const slot = new Slot(session, policy.isUnsettled(id), view);
-    if (mayGetWork(session.suspicion, slot.runs, now)) slots.push(slot);
+    if (mayGetWork(session.suspicion, slot, now)) slots.push(slot);
   }
   return slots;
 }
 
-function waitingTasks(
+/** A step with tasks that wait for a place. */
+interface WaitingStep {
+  readonly job: BookedJob;
+  readonly ready: ReadyStep;
+  readonly rank: Rank;
+}
+
+/**
+ * The steps with waiting tasks, in the order in which they get places. The
+ * tasks of a step are alike, so that an overload's tens of thousands of tasks
+ * are sorted as some hundreds of steps.
+ */
+function waitingSteps(
   jobs: Iterable<BookedJob>,
   { wall, times, putOff: isPutOff }: PlanTime,
-): readonly (WaitingTask & { readonly job: BookedJob })[] {
-  const waiting: (WaitingTask & { readonly job: BookedJob })[] = [];
+): readonly WaitingStep[] {
+  const waiting: WaitingStep[] = [];
   for (const job of jobs) {
-    const { spec } = job;
-    const ranks = new Map<number, WaitingTask["rank"]>();
-    for (const ref of startableTasks(job.progress, spec)) {
-      const { occurrence } = ref;
-      const rank = ranks.get(occurrence) ??
-        rankOfJob(job, occurrence, wall, times);
-      ranks.set(occurrence, rank);
+    const { spec, progress } = job;
+    for (const ready of readySteps(progress, spec)) {
+      if (!ready.tasks.some(isWaiting)) continue;
+      const { occurrence } = ready;
+      const rank = rankOfJob(job, occurrence, wall, times);
       const later = isPutOff.has(occurrenceKey(spec.id, occurrence));
-      waiting.push({ job, spec, ref, rank: later ? putOff(rank) : rank });
+      waiting.push({ job, ready, rank: later ? putOff(rank) : rank });
     }
   }
   return waiting.sort((a, b) => compareRanks(a.rank, b.rank));
 }
 
+/** The tasks of a step that wait, in the order of their indexes. */
+function* waitingTasks(
+  { occurrence, step, tasks }: ReadyStep,
+): Generator<TaskRef> {
+  for (const [index, task] of tasks.entries()) {
+    if (isWaiting(task)) yield { occurrence, step, index };
+  }
+}
+
 /** What a pass works with. */
 interface Pass {
   readonly slots: readonly Slot[];
@@ -153,6 +175,32 @@
   return placed;
 }
 
+/** The places of a step's tasks, and whether one found none. */
+interface PlacedStep {
+  readonly placed: readonly PlannedTask[];
+  readonly isShort: boolean;
+}
+
+/** Places tasks of a step until one finds no place, at most `most`. */
+function placeStep(
+  pass: Pass,
+  { job, ready }: WaitingStep,
+  most: number,
+): PlacedStep {
+  if (job.spec.steps[ready.step].gang) {
+    const placed = placeGang(pass, job, [...waitingTasks(ready)]);
+    return { placed, isShort: placed.length === 0 };
+  }
+  const placed: PlannedTask[] = [];
+  for (const ref of waitingTasks(ready)) {
+    if (placed.length >= most) break;
+    const one = placeOne(pass, job, ref);
+    if (one === undefined) return { placed, isShort: true };
+    placed.push(one);
+  }
+  return { placed, isShort: false };
+}
+
 /** Plans the starts of one pass. */
 export function planStarts(
   jobs: Iterable<BookedJob>,
@@ -164,24 +212,16 @@
   const slots = openSlots(sessions, policy, view, time.now);
   if (slots.length === 0) return [];
   const pass: Pass = { slots, view, policy };
-  const waiting = waitingTasks(jobs, time);
   const planned: PlannedTask[] = [];
-  const gangs = new Set<string>();
-  let misses = 0;
-  for (const { job, ref, spec } of waiting) {
-    if (planned.length >= maxPlannedTasks || misses >= maxMisses) break;
-    const key = stepName(spec.id, ref);
-    if (gangs.has(key)) continue;
-    let placed: readonly PlannedTask[];
-    if (spec.steps[ref.step].gang) {
-      gangs.add(key);
-      const members = waiting.filter((w) => stepName(w.spec.id, w.ref) === key);
-      placed = placeGang(pass, job, members.map((w) => w.ref));
-    } else {
-      const one = placeOne(pass, job, ref);
-      placed = one === undefined ? [] : [one];
-    }
-    if (placed.length === 0) misses++;
+  const missed = new MissedDemands();
+  for (const waiting of waitingSteps(jobs, time)) {
+    const left = maxPlannedTasks - planned.length;
+    if (left <= 0 || missed.count >= maxMisses) break;
+    const { spec } = waiting.job;
+    const step = spec.steps[waiting.ready.step];
+    if (missed.includes(step)) continue;
+    const { placed, isShort } = placeStep(pass, waiting, left);
+    if (isShort) missed.add(spec, step);
     planned.push(...placed);
   }
   return planned;
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -56,7 +56,17 @@
 const carePeriodMs = 100;
 
 /** Least time between two passes of placement, in ms. */
-const planSpacingMs = 10;
+const minPlanSpacingMs = 10;
+
+/**
+ * The same for each job that is not done, in ms: about eight times what a pass
+ * spends on it, so that the passes of an overload leave the processor to
+ * orders and leases.
+ */
+const planSpacingPerJobMs = 0.03;
+
+/** Most of such a time, in ms. */
+const maxPlanSpacingMs = 100;
 
 /** Longest time without a commit; a commit shows whether the shard is lost. */
 const renewMs = 1_500;
@@ -64,6 +74,12 @@
 /** How long a final job can be asked for, in ms. */
 const keepFinalMs = 150_000;
 
+/** Least time between two passes over that many jobs, in ms. */
+export function planSpacing(jobs: number): number {
+  const spacing = Math.max(minPlanSpacingMs, jobs * planSpacingPerJobMs);
+  return Math.min(maxPlanSpacingMs, spacing);
+}
+
 /** The running owner of a shard. */
 export class ShardOwner {
   readonly book = new JobBook();
@@ -198,7 +214,8 @@
     if (this.#planWanted || this.#stopped) return;
     this.#planWanted = true;
     const { clock } = this.parts;
-    const wait = Math.max(0, this.#lastPlanAt + planSpacingMs - clock.now());
+    const spacing = planSpacing(this.book.active.size);
+    const wait = Math.max(0, this.#lastPlanAt + spacing - clock.now());
     clock.after(wait, () => this.#plan());
   }
 
--- a/src/scheduler/slot.ts
+++ b/src/scheduler/slot.ts
@@ -21,8 +21,8 @@
 /** What a slot holds at one moment, to go back to it. */
 export interface SlotState {
   readonly used: Resources;
-  readonly steps: ReadonlyMap<string, number>;
-  readonly runs: number;
+  /** Number of tasks that the pass has placed there. */
+  readonly placed: number;
 }
 
 /** One endpoint in a pass. */
@@ -32,13 +32,13 @@
   readonly capacity: Resources;
   readonly suspicion: number;
   used: Resources;
-  /** Runs by step and occurrence, `JOB.OCCURRENCE.STEP`. */
-  #steps = new Map<string, number>();
-  /** Runs that are not long-running, and those that the pass has placed. */
-  #runs = 0;
+  /** Steps of the tasks that the pass has placed here, in their order. */
+  readonly #placed: string[] = [];
+  /** Runs that were here before, by step; most passes need not know. */
+  #before: ReadonlyMap<string, number> | undefined;
 
   constructor(
-    session: EndpointSession,
+    private readonly session: EndpointSession,
     /** Whether tasks with an availability budget must not come here. */
     readonly isUnsettled: boolean,
     private readonly view: TaskView,
@@ -49,19 +49,22 @@
     this.capacity = capacity;
     this.suspicion = degree(session.suspicion);
     this.used = session.used;
-    for (const { job, ref, step } of session.runs.values()) {
-      this.#count(stepName(job, ref));
-      if (!step.longRunning) this.#runs++;
-    }
   }
 
   /** How many runs count against an endpoint that is tried again. */
   get runs(): number {
-    return this.#runs;
+    let runs = this.#placed.length;
+    for (const { step } of this.session.runs.values()) {
+      if (!step.longRunning) runs++;
+    }
+    return runs;
   }
 
   get sameStep(): number {
-    return this.#steps.get(this.view.step) ?? 0;
+    const { step } = this.view;
+    this.#before ??= countSteps(this.session);
+    const placed = this.#placed.filter((each) => each === step).length;
+    return placed + (this.#before.get(step) ?? 0);
   }
 
   get failedHere(): boolean {
@@ -71,23 +74,27 @@
   /** Takes the room of one more task of the step that is looked at. */
   take(step: StepSpec): void {
     this.used = addResources(this.used, roomOf(step));
-    this.#count(this.view.step);
-    this.#runs++;
+    this.#placed.push(this.view.step);
   }
 
   /** What it holds now. */
   save(): SlotState {
-    return { used: this.used, steps: new Map(this.#steps), runs: this.#runs };
+    return { used: this.used, placed: this.#placed.length };
   }
 
   /** Goes back to what it held. */
-  restore({ used, steps, runs }: SlotState): void {
+  restore({ used, placed }: SlotState): void {
     this.used = used;
-    this.#steps = new Map(steps);
-    this.#runs = runs;
+    this.#placed.length = placed;
   }
+}
 
-  #count(step: string): void {
-    this.#steps.set(step, (this.#steps.get(step) ?? 0) + 1);
+/** Runs of an endpoint by step and occurrence, `JOB.OCCURRENCE.STEP`. */
+function countSteps(session: EndpointSession): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  for (const { job, ref } of session.runs.values()) {
+    const name = stepName(job, ref);
+    counts.set(name, (counts.get(name) ?? 0) + 1);
   }
+  return counts;
 }
--- a/src/scheduler/suspicion.ts
+++ b/src/scheduler/suspicion.ts
@@ -48,12 +48,12 @@
   return Math.min(1, s.failed.size / failingJobs);
 }
 
-/** Whether an endpoint may get work, given how many runs it has already. */
+/** Whether an endpoint with these runs may get work. */
 export function mayGetWork(
   s: Suspicion,
-  runs: number,
+  endpoint: { readonly runs: number },
   now: number,
 ): boolean {
   if (s.failed.size < failingJobs) return true;
-  return now >= s.avoidUntil && runs === 0;
+  return now >= s.avoidUntil && endpoint.runs === 0;
 }
