--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -8,6 +8,7 @@
 import type { EndpointDriver } from "./endpoint_driver.ts";
 import type { EndpointSession, Run } from "./endpoint_session.ts";
 import type { BookedJob, JobBook } from "./job_book.ts";
+import type { RunOrders } from "./run_orders.ts";
 import { vacatedKey, type VacateState } from "../upkeep/index.ts";
 import { afterFailure } from "./suspicion.ts";
 
@@ -23,12 +24,24 @@
 /** Percentage at which a long-running task is at work. */
 const atWork = 100;
 
+/**
+ * Age of an endpoint's lists from which its tasks no longer count as at work,
+ * in ms: a hold's wait and its time limit, and a second hold.
+ */
+const newsLimitMs = 2_500;
+
+/** What the caretaker asks of a shard's drivers. */
+export interface CareDriver
+  extends Pick<EndpointDriver, "sessions" | "session" | "endLife"> {
+  readonly runs: Pick<RunOrders, "stop">;
+}
+
 /** What the caretaker works with. */
 export interface CareParts {
   readonly shard: string;
   readonly clock: Clock;
   readonly book: JobBook;
-  readonly driver: EndpointDriver;
+  readonly driver: CareDriver;
   readonly vacating: () => ReadonlyMap<string, VacateState>;
   /** Writes a row with the shard's next commit. */
   readonly report: (row: RowPut) => void;
@@ -111,7 +124,9 @@
     const session = this.parts.driver.session(placement.endpoint);
     const name = `${job.spec.id}.${ref.occurrence}.${ref.step}.${ref.index}`;
     const run = session?.find(name, placement.run);
-    return run?.phase === "running" && run.percent === atWork;
+    if (session === undefined || run === undefined) return false;
+    if (session.newsAge(this.parts.clock.now()) > newsLimitMs) return false;
+    return run.phase === "running" && run.percent === atWork;
   }
 
   /**
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -254,7 +254,7 @@
     outcome: Exclude<HoldOutcome, { kind: "lists" }>,
   ): number {
     const { clock, log, shard } = this.parts;
-    session.noteAnswer(false, clock.now());
+    session.noteSilence(clock.now());
     const reason = outcome.kind === "rejected"
       ? outcome.reason
       : outcome.message;
@@ -291,7 +291,7 @@
       return retryMs;
     }
     session.readClock(lists.clockMs, now);
-    session.noteAnswer(true, now);
+    session.noteAnswer(sentAt);
     this.#settle(session, lists, sentAt, now);
     this.runs.paceFillers(session);
     if (!session.fenced) {
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -115,6 +115,8 @@
   closed = false;
   /** Steady time since which holds go without an answer. */
   #silentSince: number | undefined;
+  /** Steady time at which the hold was sent that was answered last. */
+  #heardOf = -Infinity;
   #used: Resources = nothing;
   #clockMs: number | undefined;
   #clockReadAt = 0;
@@ -144,10 +146,20 @@
     return this.#silentSince !== undefined && now - this.#silentSince >= ms;
   }
 
-  /** Notes that a hold went without an answer, or that one came. */
-  noteAnswer(answered: boolean, now: number): void {
-    if (answered) this.#silentSince = undefined;
-    else this.#silentSince ??= now;
+  /** Notes that a hold went without an answer at the steady time `now`. */
+  noteSilence(now: number): void {
+    this.#silentSince ??= now;
+  }
+
+  /** Notes that a hold sent at the steady time `sentAt` was answered. */
+  noteAnswer(sentAt: number): void {
+    this.#silentSince = undefined;
+    this.#heardOf = Math.max(this.#heardOf, sentAt);
+  }
+
+  /** Time since the last moment of which the endpoint has told, in ms. */
+  newsAge(now: number): number {
+    return now - this.#heardOf;
   }
 
   /** Whether tasks may be placed there. */
