Let entries that own nothing and are no candidates stay quiet

Ruled out as a remedy: a longer heartbeat for all, which delays every take-over.

The two largest entries of each availability zone, and eight at least, beat; the others withdraw their row, look each 3 s whether they are needed, and follow the operator's table alone. Rows of members that fell silent 30 s ago are removed. Sites with up to eight entries behave as before.

In the model 20 entries keep 8 active, and when those die at once the others take the shards.

--- a/sim/world.ts
+++ b/sim/world.ts
@@ -147,6 +147,7 @@
         watch: this.#watchRegistrations(store, registry),
         waitMs: 1_000,
         pauseMs: 100,
+        forOwners: true,
       }],
       clock: process,
       log: {
--- a/src/cluster/assignment.ts
+++ b/src/cluster/assignment.ts
@@ -18,15 +18,16 @@
 }
 
 /**
- * Spreads the shards that no live member holds: the member with the fewest
+ * Spreads the shards that no live member holds: the candidate with the fewest
  * shards a core takes the next, and the rendezvous weight decides among
  * equals. Shards that are held stay where they are.
  */
 export function assignShards(
   shards: readonly string[],
   members: readonly Member[],
+  candidates: readonly Member[] = members,
 ): ReadonlyMap<string, string> {
-  const taking = members.filter((m) => m.accepting);
+  const taking = candidates.filter((m) => m.accepting);
   const held = new Set(members.flatMap((m) => m.shards));
   const counts = new Map(taking.map((m) => [m.entry, m.shards.length]));
   const assigned = new Map<string, string>();
--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -1,5 +1,6 @@
 /** Members, their shards, and the leases on them. */
 export { assignShards, shardToRelease } from "./assignment.ts";
+export { candidatesOf } from "./candidates.ts";
 export {
   type Member,
   memberLeaseMs,
--- a/src/cluster/members.ts
+++ b/src/cluster/members.ts
@@ -57,9 +57,12 @@
     private readonly readAt: number,
   ) {}
 
-  /** The view after a read of all members' rows at the steady time `now`. */
-  observe(rows: readonly Row[], now: number): MemberView {
-    const resumed = now - this.readAt > readGapMs;
+  /**
+   * The view after a read of all members' rows at the steady time `now`, by a
+   * reader that reads them each `periodMs`.
+   */
+  observe(rows: readonly Row[], now: number, periodMs = 0): MemberView {
+    const resumed = now - this.readAt > readGapMs + periodMs;
     const next = new Map<string, Sighting>();
     for (const row of rows) {
       const member = parseJson(memberSchema, row.value);
@@ -74,12 +77,20 @@
 
   /**
    * Members whose heartbeat is recent. A slow store delays every heartbeat,
-   * so the reader's own delay (`delayMs`) makes it wait longer.
+   * so the reader's own delay (`delayMs`) makes it wait longer, and so does
+   * the time between its reads (`betweenMs`).
    */
-  live(now: number, delayMs = 0): readonly Member[] {
-    const leaseMs = memberLeaseMs + leaseDelays * delayMs;
+  live(now: number, delayMs = 0, betweenMs = 0): readonly Member[] {
+    const leaseMs = memberLeaseMs + leaseDelays * delayMs + betweenMs;
     return [...this.sightings.values()]
       .filter((s) => now - s.changedAt < leaseMs)
       .map((s) => s.member);
   }
+
+  /** Entries whose row has stood still for `ms`. */
+  silentFor(ms: number, now: number): readonly string[] {
+    return [...this.sightings.values()]
+      .filter((s) => now - s.changedAt > ms)
+      .map((s) => s.member.entry);
+  }
 }
--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -20,6 +20,9 @@
 /** How long a poll of the endpoints to empty waits, in ms. */
 const vacateWaitMs = 2_000;
 
+/** Pause before an idle entry checks again whether it needs a table, in ms. */
+const idlePauseMs = 200;
+
 /** Pause after a failed poll, in ms. */
 const pollRetryMs = 200;
 
@@ -40,6 +43,8 @@
   readonly waitMs: number;
   /** Pause between two polls, in ms, so that frequent changes are batched. */
   readonly pauseMs: number;
+  /** Whether only entries that may own shards need it. */
+  readonly forOwners: boolean;
 }
 
 /** What the service works with. */
@@ -104,6 +109,7 @@
           watch: vacate,
           waitMs: vacateWaitMs,
           pauseMs: 100,
+          forOwners: true,
         }),
     );
     this.#actors.loop("members", () => this.#shards.pass());
@@ -133,6 +139,10 @@
   }
 
   async #follow(table: FollowedTable): Promise<number> {
+    if (table.forOwners && !this.#shards.isActive) {
+      table.watch.leave();
+      return idlePauseMs;
+    }
     const polled = await table.watch.poll(table.waitMs);
     const { clock, log } = this.parts;
     if (polled.ok) {
--- a/src/service/shard_keeper.ts
+++ b/src/service/shard_keeper.ts
@@ -5,10 +5,9 @@
 import type { Catalog } from "../catalog/index.ts";
 import {
   assignShards,
+  candidatesOf,
   type Member,
   memberLeaseMs,
-  memberSchema,
-  MemberView,
   type Owner,
   type PreviousOwner,
   readOwner,
@@ -16,22 +15,9 @@
   shardToRelease,
 } from "../cluster/index.ts";
 import { ShardOwner } from "../scheduler/index.ts";
-import {
-  keepRows,
-  parseJson,
-  partitionOf,
-  partitionsOf,
-  type Row,
-  TableWatch,
-} from "../store/index.ts";
 import { FleetOwner, fleetShard, type VacateState } from "../upkeep/index.ts";
 import type { EntryParts } from "./entry_parts.ts";
-
-/** Time between two heartbeats, in ms; three fit into a member's lease. */
-const heartbeatMs = 450;
-
-/** Time after the start before shards are taken, so that all members show. */
-const settleMs = 800;
+import { Membership } from "./membership.ts";
 
 /**
  * Time after which any entry takes a shard that nobody holds, in ms: the one
@@ -42,8 +28,6 @@
 /** Least time between two releases for the sake of balance, in ms. */
 const rebalanceMs = 5_000;
 
-const membersTable = "members";
-
 /** What the keeper works with. */
 export interface ShardKeeperParts extends EntryParts {
   readonly vacating: () => ReadonlyMap<string, VacateState>;
@@ -75,94 +59,56 @@
   /** Steady time since which no live member holds a shard. */
   readonly #unheldSince = new Map<string, number>();
   readonly #sightings = new Map<string, OwnerSighting>();
-  readonly #members: TableWatch;
-  readonly #memberRows = new Map<string, Row>();
-  readonly #startedAt: number;
-  #view = MemberView.empty;
+  readonly #membership: Membership;
   #releasedAt: number;
-  /** Time that the last heartbeat took, in ms. */
-  #delayMs = 0;
-  /** Steady time at which a heartbeat without an answer was sent. */
-  #sentAt: number | undefined;
   #stopping = false;
 
   constructor(private readonly parts: ShardKeeperParts) {
-    this.#startedAt = parts.clock.now();
-    this.#releasedAt = this.#startedAt;
-    const partitions = partitionsOf(membersTable);
-    this.#members = new TableWatch(
-      parts.store,
-      membersTable,
-      partitions,
-      keepRows(this.#memberRows, (row) => row),
-    );
+    this.#releasedAt = parts.clock.now();
+    this.#membership = new Membership({
+      ...parts,
+      shards: () => [...this.#owned.keys()],
+      isTaking: () => this.#taking.size > 0,
+    });
   }
 
   get size(): number {
     return this.#owned.size;
   }
 
-  /** One heartbeat; returns the time until the next, in ms. */
+  /** Whether this entry may take shards, or has some. */
+  get isActive(): boolean {
+    return this.#membership.isActive;
+  }
+
+  /** One look at the members; returns the time until the next, in ms. */
   async pass(): Promise<number> {
     const { clock } = this.parts;
+    const membership = this.#membership;
     const startedAt = clock.now();
-    const [, read] = await Promise.all([
-      this.#heartbeat(),
-      this.#members.poll(0),
-    ]);
-    if (read.ok && !this.#stopping) {
-      this.parts.storeSeen();
-      const rows = [...this.#memberRows.values()];
-      this.#view = this.#view.observe(rows, clock.now());
-      if (clock.now() - this.#startedAt > settleMs) this.#claim();
-    }
-    return Math.max(0, startedAt + heartbeatMs - clock.now());
+    const read = await membership.pass();
+    const mayClaim = read && membership.isActive && membership.isSettled;
+    if (mayClaim && !this.#stopping) this.#claim();
+    return Math.max(0, startedAt + membership.periodMs - clock.now());
   }
 
   /** Gives all shards up. */
   async release(): Promise<void> {
     this.#stopping = true;
+    this.#membership.leave();
     const owned = [...this.#owned.values()];
     this.#owned.clear();
     await Promise.all(owned.map((shard) => shard.release()));
-    await this.#heartbeat();
-  }
-
-  async #heartbeat(): Promise<void> {
-    const { store, clock, log } = this.parts;
-    const key = {
-      table: membersTable,
-      partition: partitionOf(membersTable, this.parts.self.entry),
-      key: this.parts.self.entry,
-    };
-    const value = JSON.stringify(this.#describe());
-    const sentAt = clock.now();
-    this.#sentAt = sentAt;
-    const sent = await store.commit({
-      checks: [],
-      puts: [{ ...key, value }],
-      removes: [],
-    });
-    this.#sentAt = undefined;
-    this.#delayMs = clock.now() - sentAt;
-    if (sent.ok) this.parts.storeSeen();
-    else log.decision("heartbeat-failed", { message: sent.val.message });
-  }
-
-  #describe(): Member {
-    const shards = [...this.#owned.keys()];
-    return { ...this.parts.self, shards, accepting: !this.#stopping };
+    if (this.#membership.isActive) await this.#membership.heartbeat();
   }
 
   #claim(): void {
     const { self, clock, catalog, isFollowing } = this.parts;
     if (catalog.current === undefined || !isFollowing()) return;
     const now = clock.now();
-    const pendingMs = this.#sentAt === undefined ? 0 : now - this.#sentAt;
-    const others = this.#view.live(now, Math.max(this.#delayMs, pendingMs))
-      .filter((m) => m.entry !== self.entry);
-    const members = [...others, this.#describe()];
-    const assigned = assignShards(this.#shards(catalog.current), members);
+    const members = this.#membership.live();
+    const shards = this.#shards(catalog.current);
+    const assigned = assignShards(shards, members, candidatesOf(members));
     for (const shard of this.#unheldSince.keys()) {
       if (!assigned.has(shard)) this.#unheldSince.delete(shard);
     }
@@ -191,7 +137,7 @@
     this.#releasedAt = clock.now();
     this.#owned.delete(shard);
     log.decision("shard-released", { shard, reason: "balance" });
-    owned.release().then(() => this.#heartbeat());
+    owned.release().then(() => this.#membership.heartbeat());
   }
 
   async #take(shard: string, members: readonly Member[]): Promise<void> {
@@ -239,11 +185,8 @@
   /** Whether an earlier owner may go on ordering without the store. */
   #previous(owner: Owner | undefined): PreviousOwner {
     if (owner === undefined || owner.boot === "") return "ended";
-    const row = this.#memberRows.get(owner.entry);
-    const member = row && parseJson(memberSchema, row.value);
-    const restarted = member !== undefined && member.boot !== owner.boot;
-    const isOwn = owner.entry === this.parts.self.entry;
-    return restarted || isOwn ? "ended" : "silent";
+    const hasEnded = this.#membership.hasEnded(owner.entry, owner.boot);
+    return hasEnded ? "ended" : "silent";
   }
 
   async #run(
@@ -264,7 +207,7 @@
     });
     this.#owned.set(shard, owner);
     if (await owner.start()) {
-      this.#heartbeat();
+      this.#membership.heartbeat();
       return;
     }
     owner.stop();
--- a/src/store/table_watch.ts
+++ b/src/store/table_watch.ts
@@ -51,6 +51,11 @@
     return this.#version !== undefined;
   }
 
+  /** Leaves the feed; the next poll reads the whole table again. */
+  leave(): void {
+    this.#version = undefined;
+  }
+
   /** Reads what has changed, waiting up to `waitMs` for a change. */
   async poll(waitMs: number): Promise<Result<void, StoreFailure>> {
     if (this.#version === undefined) return await this.#readAll();
--- a/test/sim/run_model.ts
+++ b/test/sim/run_model.ts
@@ -21,8 +21,9 @@
 export async function runModel(
   seed: number,
   actions: readonly Action[],
+  entries = 3,
 ): Promise<ModelRun> {
-  const world = new World({ seed, entries: 3, hostsPerPool: 4 });
+  const world = new World({ seed, entries, hostsPerPool: 4 });
   const play = new Play(world);
   await world.pass(settleMs);
   for (const action of actions) await play.act(action);
