--- a/test/platform/http_json_test.ts
+++ b/test/platform/http_json_test.ts
@@ -1,6 +1,7 @@
 /** Calls that are given up. */
 import assert from "node:assert/strict";
 import { once } from "node:events";
+import { createServer as createHttpServer } from "node:http";
 import { type AddressInfo, createServer, type Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { JsonHttp } from "../../platform/http_json.ts";
@@ -64,3 +65,69 @@
     await http.close();
   });
 });
+
+describe("a call that waits for a connection until it is given up", () => {
+  it("is never sent", async () => {
+    const seen: string[] = [];
+    const server = createHttpServer((req, res) => {
+      seen.push(req.url ?? "");
+      setTimeout(() => res.end("{}"), 3 * timeoutMs);
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const http = new JsonHttp(`127.0.0.1:${port}`, 1);
+    const slow = http.call({
+      method: "GET",
+      path: "/slow",
+      timeoutMs: 10 * timeoutMs,
+    });
+    const waits = { method: "GET", path: "/waits", timeoutMs } as const;
+    assert.equal((await http.call(waits)).status, undefined);
+    assert.equal((await slow).status, 200);
+    await new Promise((resolve) => setTimeout(resolve, 2 * timeoutMs));
+    assert.deepEqual(seen, ["/slow"]);
+    await http.close();
+    server.close();
+  });
+});
+
+describe("an answer", () => {
+  it("is put together from its parts, and undefined if it is no JSON", async () => {
+    const server = createHttpServer((req, res) => {
+      if (req.url === "/text") return res.end("no JSON");
+      res.write('{"name":"caf');
+      setTimeout(() => res.end('\u00e9"}'), 20);
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const http = new JsonHttp(`127.0.0.1:${port}`, 1);
+    const call = { method: "GET", timeoutMs: 20 * timeoutMs } as const;
+    const parts = await http.call({ ...call, path: "/parts" });
+    const text = await http.call({ ...call, path: "/text" });
+    assert.deepEqual(parts, { status: 200, body: { name: "caf\u00e9" } });
+    assert.deepEqual(text, { status: 200, body: undefined });
+    await http.close();
+    server.close();
+  });
+
+  it("that is cut off counts as none", async () => {
+    const server = createHttpServer((_, res) => {
+      res.writeHead(200, { "content-length": 100 });
+      res.write("{");
+      setTimeout(() => res.destroy(), 20);
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const http = new JsonHttp(`127.0.0.1:${port}`, 1);
+    const cut = {
+      method: "GET",
+      path: "/",
+      timeoutMs: 20 * timeoutMs,
+    } as const;
+    const answer = await http.call(cut);
+    assert.equal(answer.status, undefined);
+    assert.equal(answer.status === undefined && answer.notSent, false);
+    await http.close();
+    server.close();
+  });
+});
