--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -21,7 +21,7 @@
 const vacateWaitMs = 2_000;
 
 /** Pause before an idle entry checks again whether it needs a table, in ms. */
-const idlePauseMs = 200;
+const idlePauseMs = 1_000;
 
 /** Pause after a failed poll, in ms. */
 const pollRetryMs = 200;
