Reject submissions at once while the store is known not to answer

Ruled out: answering 503 after a reset, as the job may be stored.

A circuit breaker notes how the entry's calls go. Tests: rejected without a call, accepted again after one answered poll, still tried after a single failure.

--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -20,7 +20,12 @@
 import type { Queue } from "../catalog/index.ts";
 import { type Clock, delay } from "../clock/index.ts";
 import { codes, fail, type Failure } from "../errors/index.ts";
-import { parseJson, type Store, type StoreFailure } from "../store/index.ts";
+import {
+  parseJson,
+  type Store,
+  type StoreBreaker,
+  type StoreFailure,
+} from "../store/index.ts";
 
 /** Pause before a refused call is tried again, in ms. */
 const retryPauseMs = 40;
@@ -47,16 +52,25 @@
 
 /** The callers' requests, over the store. */
 export class Intake {
-  constructor(private readonly store: Store, private readonly clock: Clock) {}
+  constructor(
+    private readonly store: Store,
+    private readonly clock: Clock,
+    /** Tells when the store is known not to answer. */
+    private readonly breaker: Pick<StoreBreaker, "isOpen">,
+  ) {}
 
   /**
    * Stores a job. Fails with `recordUnavailable` when it is certain that it
-   * was not stored, with `recordUnknown` when it may have been.
+   * was not stored, at once if the store is known not to answer; with
+   * `recordUnknown` when it may have been.
    */
   async submit(
     req: IntakeRequest,
     spec: JobSpec,
   ): Promise<Result<"accepted", Failure>> {
+    if (this.breaker.isOpen) {
+      return fail(codes.recordUnavailable, "the store does not answer");
+    }
     const key = inboxKey(req.queue.pool, spec.id);
     const tx = {
       checks: [{ ...key, version: 0 }],
--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -7,7 +7,7 @@
 import { ActorSystem } from "../actors/index.ts";
 import { delay } from "../clock/index.ts";
 import { Intake } from "../intake/index.ts";
-import { keepRows, TableWatch } from "../store/index.ts";
+import { keepRows, StoreBreaker, TableWatch } from "../store/index.ts";
 import {
   decodeVacate,
   fleetShard,
@@ -56,6 +56,7 @@
 export class BatchService {
   readonly intake: Intake;
   readonly #actors: ActorSystem;
+  readonly #breaker: StoreBreaker;
   readonly #shards: ShardKeeper;
   readonly #vacating = new Map<string, VacateState>();
   readonly #silentTables = new Set<string>();
@@ -63,12 +64,15 @@
   #stopping = false;
 
   constructor(private readonly parts: ServiceParts) {
-    const { clock, store } = parts;
-    this.intake = new Intake(store, clock);
+    const { clock } = parts;
+    const store = new StoreBreaker(parts.store, clock);
+    this.#breaker = store;
+    this.intake = new Intake(store, clock, store);
     this.#storeSeenAt = clock.now();
     this.#actors = new ActorSystem(clock, parts.crashed);
     this.#shards = new ShardKeeper({
       ...parts,
+      store,
       vacating: () => this.#vacating,
       refreshVacating: () => this.#refreshVacating(),
       isFollowing: () => parts.followed.every((f) => f.watch.isFollowing),
@@ -143,7 +147,7 @@
       table.watch.leave();
       return idlePauseMs;
     }
-    const polled = await table.watch.poll(table.waitMs);
+    const polled = this.#breaker.note(await table.watch.poll(table.waitMs));
     const { clock, log } = this.parts;
     if (polled.ok) {
       this.#storeSeenAt = clock.now();
--- /dev/null
+++ b/src/store/breaker.ts
@@ -0,0 +1,68 @@
+/**
+ * Circuit breaker before the store: tells when the store has not answered this
+ * entry for a while, so that what can't be stored is rejected at once.
+ *
+ * It holds nothing back. The polls of the followed tables go on while it is
+ * open, a few a second, and the first call that is answered closes it.
+ */
+import type { Result } from "ts-results";
+import type { Clock } from "../clock/index.ts";
+import type {
+  CommitOutcome,
+  FeedResult,
+  RangeQuery,
+  RangeResult,
+  Store,
+  StoreFailure,
+  Transaction,
+} from "./store.ts";
+
+/** Time without an answer after which the breaker opens, in ms. */
+const openAfterMs = 400;
+
+/** Failures in a row that it takes as well. */
+const openAfterFailures = 4;
+
+/** A store that remembers how its calls went. */
+export class StoreBreaker implements Store {
+  #failures = 0;
+  #answeredAt: number;
+
+  constructor(
+    private readonly store: Store,
+    private readonly clock: Clock,
+  ) {
+    this.#answeredAt = clock.now();
+  }
+
+  /** Whether the store has lately answered none of several calls. */
+  get isOpen(): boolean {
+    return this.#failures >= openAfterFailures &&
+      this.clock.now() - this.#answeredAt > openAfterMs;
+  }
+
+  async commit(tx: Transaction): Promise<Result<CommitOutcome, StoreFailure>> {
+    return this.note(await this.store.commit(tx));
+  }
+
+  async range(query: RangeQuery): Promise<Result<RangeResult, StoreFailure>> {
+    return this.note(await this.store.range(query));
+  }
+
+  async feed(
+    table: string,
+    after: number,
+    waitMs: number,
+  ): Promise<Result<FeedResult, StoreFailure>> {
+    return this.note(await this.store.feed(table, after, waitMs));
+  }
+
+  /** Takes note of the outcome of a call, and returns it. */
+  note<T>(outcome: Result<T, StoreFailure>): Result<T, StoreFailure> {
+    if (outcome.ok || outcome.val.kind === "expired") {
+      this.#failures = 0;
+      this.#answeredAt = this.clock.now();
+    } else this.#failures++;
+    return outcome;
+  }
+}
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,5 +1,6 @@
 /** The transactional row store that all entries share. */
 export * from "./store.ts";
+export { StoreBreaker } from "./breaker.ts";
 export { parseJson } from "./json_row.ts";
 export { partitionOf, partitionsOf } from "./partitions.ts";
 export { keepRows, TableWatch, type WatchHandler } from "./table_watch.ts";
--- /dev/null
+++ b/test/intake/intake_test.ts
@@ -0,0 +1,94 @@
+/** Submissions while the store is away. */
+import assert from "node:assert/strict";
+import { beforeEach, describe, it } from "node:test";
+import { jobOf } from "../../sim/jobs.ts";
+import { ModelStore } from "../../sim/model_store.ts";
+import { queueOf } from "../../sim/pools.ts";
+import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
+import { codes } from "../../src/errors/index.ts";
+import { Intake } from "../../src/intake/index.ts";
+import { type Store, StoreBreaker } from "../../src/store/index.ts";
+
+const entry = "e";
+
+/** Time limit of a caller, in ms. */
+const limitMs = 3_000;
+
+describe("a submission", () => {
+  let clock: VirtualClock;
+  let model: ModelStore;
+  let breaker: StoreBreaker;
+  let intake: Intake;
+
+  beforeEach(() => {
+    clock = new VirtualClock();
+    model = new ModelStore(clock, () => 1);
+    const store: Store = model.connect(entry, new ProcessClock(clock));
+    breaker = new StoreBreaker(store, clock);
+    intake = new Intake(breaker, clock, breaker);
+  });
+
+  /** Submits a job; returns the result's code, 0 if accepted, and the time. */
+  async function submit(number: number) {
+    const startedAt = clock.now();
+    const queue = queueOf("quotes");
+    const spec = jobOf(number, "single", "quotes", clock.wall());
+    const deadline = startedAt + limitMs;
+    let done: { readonly code: number; readonly ms: number } | undefined;
+    intake.submit({ queue, job: spec.id, deadline }, spec).then((result) => {
+      const code = result.ok ? 0 : result.val.code.code;
+      done = { code, ms: clock.now() - startedAt };
+    });
+    while (done === undefined) {
+      await clock.advance(10);
+      await clock.flush();
+    }
+    return done;
+  }
+
+  /** What a followed table does: a poll, and again after a pause. */
+  async function poll(times: number): Promise<void> {
+    for (let i = 0; i < times; i++) {
+      breaker.range({ table: "op", partition: "" });
+      for (let ms = 0; ms < 200; ms += 10) {
+        await clock.advance(10);
+        await clock.flush();
+      }
+    }
+  }
+
+  it("is accepted once it is stored", async () => {
+    assert.equal((await submit(1)).code, 0);
+    assert.equal(model.table("inbox-quotes").length, 1);
+  });
+
+  describe("when several calls in a row went without success", () => {
+    it("is rejected at once, without a call to the store", async () => {
+      model.setMood(entry, "refuses");
+      await poll(5);
+      const { code, ms } = await submit(1);
+      assert.equal(code, codes.recordUnavailable.code);
+      assert.ok(ms <= 10, `${ms} ms`);
+      model.setMood(entry, "serves");
+      await clock.advance(limitMs);
+      assert.equal(model.table("inbox-quotes").length, 0);
+    });
+
+    it("is accepted again after the first answer to a poll", async () => {
+      model.setMood(entry, "refuses");
+      await poll(5);
+      model.setMood(entry, "serves");
+      await poll(1);
+      assert.equal((await submit(2)).code, 0);
+    });
+  });
+
+  describe("when a single call has failed", () => {
+    it("is still tried", async () => {
+      model.setMood(entry, "refuses");
+      await poll(1);
+      model.setMood(entry, "serves");
+      assert.equal((await submit(3)).code, 0);
+    });
+  });
+});
--- a/test/platform/front_server_test.ts
+++ b/test/platform/front_server_test.ts
@@ -97,7 +97,9 @@
   const model = new ModelStore(virtual, () => 1);
   const process = new ProcessClock(virtual);
   const catalog = new CatalogHolder();
-  const intake = new Intake(model.connect("e", process), systemClock);
+  const intake = new Intake(model.connect("e", process), systemClock, {
+    isOpen: false,
+  });
   const front = new FrontServer({
     intake,
     catalog,
