--- a/src/scheduler/missed_demands.ts
+++ b/src/scheduler/missed_demands.ts
@@ -26,7 +26,7 @@
   readonly #missed: Resources[] = [];
   #count = 0;
 
-  /** Number of steps that were tried and missed. */
+  /** Number of steps that missed. */
   get count(): number {
     return this.#count;
   }
@@ -37,9 +37,11 @@
     if (takesAnyEndpoint(spec, step)) this.#missed.push(roomOf(step));
   }
 
-  /** Whether the step would miss as well. */
-  includes(step: StepSpec): boolean {
+  /** Whether the step misses as well, without a try; if so it is counted. */
+  takes(step: StepSpec): boolean {
     const demand = roomOf(step);
-    return this.#missed.some((missed) => asksForAsMuch(demand, missed));
+    const misses = this.#missed.some((each) => asksForAsMuch(demand, each));
+    if (misses) this.#count++;
+    return misses;
   }
 }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -53,8 +53,12 @@
 /** Most tasks that one pass places; the rest waits for the next pass. */
 const maxPlannedTasks = 300;
 
-/** Steps that may miss a place before a pass ends. */
-const maxMisses = 60;
+/**
+ * Steps that may miss a place before a pass ends. Small tasks of jobs further
+ * back would go on to fill each gap, and those in front never get the room
+ * that they wait for.
+ */
+const maxMissedSteps = 8;
 
 function openSlots(
   sessions: Iterable<EndpointSession>,
@@ -216,10 +220,10 @@
   const missed = new MissedDemands();
   for (const waiting of waitingSteps(jobs, time)) {
     const left = maxPlannedTasks - planned.length;
-    if (left <= 0 || missed.count >= maxMisses) break;
+    if (left <= 0 || missed.count >= maxMissedSteps) break;
     const { spec } = waiting.job;
     const step = spec.steps[waiting.ready.step];
-    if (missed.includes(step)) continue;
+    if (missed.takes(step)) continue;
     const { placed, isShort } = placeStep(pass, waiting, left);
     if (isShort) missed.add(spec, step);
     planned.push(...placed);
--- a/test/scheduler/planner_test.ts
+++ b/test/scheduler/planner_test.ts
@@ -120,6 +120,19 @@
       assert.deepEqual(later.map((p) => p.job), [small]);
     });
 
+    it("leaves what is free to those in front, not to small tasks", () => {
+      const free = openSession("free");
+      free.add(newRun("running", { step: step(1) }));
+      const big = { cpuMillis: 3_500, memoryMb: 100, gpus: 0 };
+      const front = Array.from(
+        { length: 20 },
+        (_, i) => bookedJob(`front-${i}`, [step(2, { demand: big })]),
+      );
+      const demand = { cpuMillis: 400, memoryMb: 100, gpus: 0 };
+      const small = bookedJob("small", [step(1, { demand })]);
+      assert.deepEqual(plan([...front, small], [free]), []);
+    });
+
     it("works the times of unchanged jobs out once", () => {
       class CountedTimes extends RunTimes {
         calls = 0;
