Keep what is expected of an occurrence until its tasks change

Ranks and due work were worked out apart, each from all tasks of the job, and a count of runs made what was kept stale after a few milliseconds of a surge. Both now come from one expectation by the value of the occurrence's tasks, renewed after 0.25 s; ready steps carry their counts. Behaviour is the same but for that quarter of a second.

--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -271,6 +271,10 @@
   readonly occurrence: number;
   readonly step: number;
   readonly tasks: readonly TaskState[];
+  /** Number of its tasks that are not done. */
+  readonly open: number;
+  /** Number of those that wait for a place. */
+  readonly waiting: number;
 }
 
 /** Found ready steps; a progress never changes, and belongs to one job. */
@@ -291,8 +295,10 @@
   const ready: ReadyStep[] = [];
   for (const [occurrence, steps] of p.open) {
     steps.forEach((tasks, step) => {
-      if (isStepDone(steps, step) || !isStepReady(spec, steps, step)) return;
-      ready.push({ occurrence, step, tasks });
+      const open = tasks.filter((task) => !task.done).length;
+      if (open === 0 || !isStepReady(spec, steps, step)) return;
+      const waiting = tasks.filter(isWaiting).length;
+      ready.push({ occurrence, step, tasks, open, waiting });
     });
   }
   return ready;
--- a/src/scheduler/demand.ts
+++ b/src/scheduler/demand.ts
@@ -36,8 +36,7 @@
   let late = nothing;
   for (const job of jobs) {
     const { progress, spec } = job;
-    for (const { occurrence, step, tasks } of readySteps(progress, spec)) {
-      const open = tasks.filter((task) => !task.done).length;
+    for (const { occurrence, step, open } of readySteps(progress, spec)) {
       const room = multiplyResources(roomOf(spec.steps[step]), open);
       if (isLate(job, occurrence)) late = addResources(late, room);
       else onTime = addResources(onTime, room);
@@ -51,10 +50,9 @@
 function minEndpoints(jobs: Iterable<BookedJob>): number {
   let most = 0;
   for (const { progress, spec } of jobs) {
-    for (const { step, tasks } of readySteps(progress, spec)) {
+    for (const { step, open } of readySteps(progress, spec)) {
       const { maxPerEndpoint } = spec.steps[step];
       if (maxPerEndpoint <= 0) continue;
-      const open = tasks.filter((task) => !task.done).length;
       most = Math.max(most, Math.ceil(open / maxPerEndpoint));
     }
   }
--- a/src/scheduler/job_rank.ts
+++ b/src/scheduler/job_rank.ts
@@ -16,11 +16,8 @@
 } from "./order.ts";
 import type { RunTimes } from "./run_times.ts";
 
-/**
- * Runs after which expected times are worked out anew: a small part of the
- * memory that they are averages over.
- */
-const runsUntilStale = 4;
+/** Time after which expected times are worked out anew, in ms. */
+const staleMs = 250;
 
 /** Share of a run's work that is left on average while it runs. */
 const runningShare = 0.5;
@@ -30,35 +27,65 @@
   return `${job}.${occurrence}`;
 }
 
-interface KnownTimes extends OccurrenceTimes {
-  /** Revision of the run times that they were worked out from. */
-  readonly revision: number;
+/** Work of an occurrence's tasks, in thousandths of a core times ms. */
+interface TaskWork {
+  readonly running: number;
+  readonly waiting: number;
+  /** All of it, what is done included. */
+  readonly whole: number;
+}
+
+/** What is expected of an occurrence as its tasks are. */
+interface Expectation extends OccurrenceTimes, TaskWork {
+  /** Wall-clock time at which it was worked out, in ms. */
+  readonly at: number;
 }
 
 /**
- * Times of occurrences by the value of their tasks. Thousands of jobs wait in
- * an overload, and a pass looks at each of them; only those whose tasks have
- * changed are worked out again.
+ * Expectations by the value of an occurrence's tasks. Thousands of jobs wait
+ * in an overload, and a pass looks at each of them; only those whose tasks
+ * have changed are worked out again, and the others now and then, as run
+ * times are learned.
  */
-const knownTimes = new WeakMap<OccurrenceTasks, KnownTimes>();
+const expectations = new WeakMap<OccurrenceTasks, Expectation>();
 
-function timesOfJob(
+function workOf(
+  spec: JobSpec,
+  tasks: OccurrenceTasks,
+  times: RunTimes,
+): TaskWork {
+  let running = 0;
+  let waiting = 0;
+  let whole = 0;
+  tasks.forEach((list, i) => {
+    const step = spec.steps[i];
+    const each = step.demand.cpuMillis * times.expectedMs(spec.queue, step);
+    whole += list.length * each;
+    for (const { done, placement } of list) {
+      if (done) continue;
+      if (placement !== undefined) running += runningShare * each;
+      else waiting += each;
+    }
+  });
+  return { running, waiting, whole };
+}
+
+function expectationOf(
   spec: JobSpec,
   occurrence: number,
   tasks: OccurrenceTasks,
+  wall: number,
   times: RunTimes,
-): OccurrenceTimes {
-  const { revision } = times;
-  const known = knownTimes.get(tasks);
-  if (known !== undefined && revision - known.revision < runsUntilStale) {
-    return known;
-  }
+): Expectation {
+  const known = expectations.get(tasks);
+  if (known !== undefined && Math.abs(wall - known.at) < staleMs) return known;
   const found = timesOf(spec, occurrence, {
     expectedMs: (step) => times.expectedMs(spec.queue, step),
     isDone: (step) => step < tasks.length && isStepDone(tasks, step),
   });
-  knownTimes.set(tasks, { ...found, revision });
-  return found;
+  const next = { ...found, ...workOf(spec, tasks, times), at: wall };
+  expectations.set(tasks, next);
+  return next;
 }
 
 /** The rank of a booked job's occurrence at the wall-clock time `wall`. */
@@ -69,7 +96,8 @@
   times: RunTimes,
 ): Rank {
   const tasks = progress.open.get(occurrence) ?? [];
-  return rankAt(spec, timesOfJob(spec, occurrence, tasks, times), wall);
+  const expected = expectationOf(spec, occurrence, tasks, wall, times);
+  return rankAt(spec, expected, wall);
 }
 
 interface SizedWork extends DueWork {
@@ -84,24 +112,14 @@
   times: RunTimes,
 ): SizedWork | undefined {
   const { spec, progress, lot } = job;
-  const rank = rankOfJob(job, occurrence, wall, times);
   const tasks = progress.open.get(occurrence);
-  if (rank.tier !== onTimeTier || tasks === undefined) return undefined;
-  let running = 0;
-  let waiting = 0;
-  let size = 0;
-  spec.steps.forEach((step, i) => {
-    const each = step.demand.cpuMillis * times.expectedMs(spec.queue, step);
-    for (const { done, placement } of tasks[i]) {
-      size += each;
-      if (done) continue;
-      if (placement !== undefined) running += runningShare * each;
-      else waiting += each;
-    }
-  });
+  if (tasks === undefined) return undefined;
+  const expected = expectationOf(spec, occurrence, tasks, wall, times);
+  const { tier, finishBy } = rankAt(spec, expected, wall);
+  if (tier !== onTimeTier) return undefined;
+  const { running, waiting, whole: size } = expected;
   const key = occurrenceKey(spec.id, occurrence);
   const { queue, priority } = spec;
-  const { finishBy } = rank;
   return { key, queue, priority, finishBy, running, waiting, size, lot };
 }
 
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -97,7 +97,7 @@
   for (const job of jobs) {
     const { spec, progress } = job;
     for (const ready of readySteps(progress, spec)) {
-      if (!ready.tasks.some(isWaiting)) continue;
+      if (ready.waiting === 0) continue;
       const { occurrence } = ready;
       const rank = rankOfJob(job, occurrence, wall, times);
       const later = isPutOff.has(occurrenceKey(spec.id, occurrence));
--- a/src/scheduler/run_times.ts
+++ b/src/scheduler/run_times.ts
@@ -101,12 +101,6 @@
 /** Learned run times of one shard's queues. */
 export class RunTimes {
   readonly #queues = new Map<string, QueueTimes>();
-  #runs = 0;
-
-  /** Number of runs so far; expectations are the same while it is. */
-  get revision(): number {
-    return this.#runs;
-  }
 
   /** The stored form of all that was learned. */
   encode(): string {
@@ -129,7 +123,6 @@
   /** Notes that a task of the step took `ms` from its start to its end. */
   ran(queue: string, step: StepSpec, ms: number): void {
     if (ms <= 0) return;
-    this.#runs++;
     const known = this.#queues.get(queue) ??
       { run: new Moments(), factor: new Moments() };
     this.#queues.set(queue, known);
