--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -65,7 +65,13 @@
 
   constructor(private readonly parts: ServiceParts) {
     const { clock } = parts;
-    const store = new StoreBreaker(parts.store, clock);
+    const store = new StoreBreaker(parts.store, clock, (change) => {
+      const { isOpen, silentMs, message } = change;
+      parts.log.decision(isOpen ? "store-lost" : "store-back", {
+        silentMs,
+        message,
+      });
+    });
     this.#breaker = store;
     this.intake = new Intake(store, clock, store);
     this.#storeSeenAt = clock.now();
--- a/src/store/breaker.ts
+++ b/src/store/breaker.ts
@@ -23,14 +23,25 @@
 /** Failures in a row that it takes as well. */
 const openAfterFailures = 4;
 
+/** What the breaker went by when it opened or closed. */
+export interface BreakerChange {
+  readonly isOpen: boolean;
+  /** Time since the answer before, in ms. */
+  readonly silentMs: number;
+  /** What the latest call ended with; empty for an answer. */
+  readonly message: string;
+}
+
 /** A store that remembers how its calls went. */
 export class StoreBreaker implements Store {
   #failures = 0;
   #answeredAt: number;
+  #wasOpen = false;
 
   constructor(
     private readonly store: Store,
     private readonly clock: Clock,
+    private readonly changed: (change: BreakerChange) => void = () => {},
   ) {
     this.#answeredAt = clock.now();
   }
@@ -59,10 +70,22 @@
 
   /** Takes note of the outcome of a call, and returns it. */
   note<T>(outcome: Result<T, StoreFailure>): Result<T, StoreFailure> {
+    const silentMs = this.clock.now() - this.#answeredAt;
     if (outcome.ok || outcome.val.kind === "expired") {
       this.#failures = 0;
       this.#answeredAt = this.clock.now();
-    } else this.#failures++;
+      this.#tell(silentMs, "");
+    } else {
+      this.#failures++;
+      this.#tell(silentMs, outcome.val.message);
+    }
     return outcome;
   }
+
+  #tell(silentMs: number, message: string): void {
+    const { isOpen } = this;
+    if (isOpen === this.#wasOpen) return;
+    this.#wasOpen = isOpen;
+    this.changed({ isOpen, silentMs: Math.round(silentMs), message });
+  }
 }
--- a/test/intake/intake_test.ts
+++ b/test/intake/intake_test.ts
@@ -19,12 +19,16 @@
   let model: ModelStore;
   let breaker: StoreBreaker;
   let intake: Intake;
+  let changes: boolean[];
 
   beforeEach(() => {
     clock = new VirtualClock();
     model = new ModelStore(clock, () => 1);
     const store: Store = model.connect(entry, new ProcessClock(clock));
-    breaker = new StoreBreaker(store, clock);
+    changes = [];
+    breaker = new StoreBreaker(store, clock, ({ isOpen }) => {
+      changes.push(isOpen);
+    });
     intake = new Intake(breaker, clock, breaker);
   });
 
@@ -80,6 +84,7 @@
       model.setMood(entry, "serves");
       await poll(1);
       assert.equal((await submit(2)).code, 0);
+      assert.deepEqual(changes, [true, false]);
     });
   });
 
