--- /dev/null
+++ b/src/scheduler/plan_timer.ts
@@ -0,0 +1,56 @@
+/**
+ * When the passes of placement take place: soon after something has changed,
+ * but the less often the more jobs there are, so that the passes of an
+ * overload leave the processor to orders and leases.
+ */
+import type { Clock } from "../clock/index.ts";
+
+/** Least time between two passes, in ms. */
+const minSpacingMs = 10;
+
+/** The same for each job that is not done, in ms. */
+const spacingPerJobMs = 0.03;
+
+/** Most of such a time, in ms. */
+const maxSpacingMs = 100;
+
+/** Least time between two passes over that many jobs, in ms. */
+export function planSpacing(jobs: number): number {
+  const spacing = Math.max(minSpacingMs, jobs * spacingPerJobMs);
+  return Math.min(maxSpacingMs, spacing);
+}
+
+/** Calls for the passes of one shard. */
+export class PlanTimer {
+  #isWanted = false;
+  #isStopped = false;
+  #lastAt = -Infinity;
+
+  /** `jobs` counts those that are not done. */
+  constructor(
+    private readonly clock: Clock,
+    private readonly jobs: () => number,
+    private readonly pass: () => void,
+  ) {}
+
+  /** Asks for a pass soon; one is enough for all that ask before it. */
+  want(): void {
+    if (this.#isWanted || this.#isStopped) return;
+    this.#isWanted = true;
+    const at = this.#lastAt + planSpacing(this.jobs());
+    const wait = Math.max(0, at - this.clock.now());
+    this.clock.after(wait, () => this.#begin());
+  }
+
+  /** No pass begins any more. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
+  #begin(): void {
+    this.#isWanted = false;
+    if (this.#isStopped) return;
+    this.#lastAt = this.clock.now();
+    this.pass();
+  }
+}
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -44,6 +44,7 @@
 import type { ShardParts } from "./shard_parts.ts";
 import { ShardReports } from "./shard_reports.ts";
 import { Placer } from "./placer.ts";
+import { PlanTimer } from "./plan_timer.ts";
 import { RunTimes } from "./run_times.ts";
 
 /** How long a poll of the inbox waits for a new job, in ms. */
@@ -55,31 +56,12 @@
 /** Time between two passes over what is due, stalled or draining, in ms. */
 const carePeriodMs = 100;
 
-/** Least time between two passes of placement, in ms. */
-const minPlanSpacingMs = 10;
-
-/**
- * The same for each job that is not done, in ms: about eight times what a pass
- * spends on it, so that the passes of an overload leave the processor to
- * orders and leases.
- */
-const planSpacingPerJobMs = 0.03;
-
-/** Most of such a time, in ms. */
-const maxPlanSpacingMs = 100;
-
 /** Longest time without a commit; a commit shows whether the shard is lost. */
 const renewMs = 1_500;
 
 /** How long a final job can be asked for, in ms. */
 const keepFinalMs = 150_000;
 
-/** Least time between two passes over that many jobs, in ms. */
-export function planSpacing(jobs: number): number {
-  const spacing = Math.max(minPlanSpacingMs, jobs * planSpacingPerJobMs);
-  return Math.min(maxPlanSpacingMs, spacing);
-}
-
 /** The running owner of a shard. */
 export class ShardOwner {
   readonly book = new JobBook();
@@ -89,8 +71,7 @@
   readonly #actors: ActorSystem;
   readonly #inbox: TableWatch;
   #unsubscribe: () => void = () => {};
-  #planWanted = false;
-  #lastPlanAt = -Infinity;
+  readonly #plans: PlanTimer;
   readonly #demand: DemandReporter;
   readonly #times = new RunTimes();
   readonly #placer: Placer;
@@ -101,6 +82,11 @@
   constructor(private readonly parts: ShardParts) {
     const { shard, clock, store, lease } = parts;
     this.#actors = new ActorSystem(clock, parts.crashed);
+    this.#plans = new PlanTimer(
+      clock,
+      () => this.book.active.size,
+      () => this.#placer.pass(this.#activeJobs()),
+    );
     this.commits = new CommitQueue(lease, clock, {
       dirty: this.book.dirty,
       put: (id) => {
@@ -198,6 +184,7 @@
     this.#stopped = true;
     this.#unsubscribe();
     this.#actors.stop();
+    this.#plans.stop();
     this.driver.stop();
     this.commits.stop();
   }
@@ -211,12 +198,7 @@
 
   /** Asks for a pass of placement soon. */
   wantPlan(): void {
-    if (this.#planWanted || this.#stopped) return;
-    this.#planWanted = true;
-    const { clock } = this.parts;
-    const spacing = planSpacing(this.book.active.size);
-    const wait = Math.max(0, this.#lastPlanAt + spacing - clock.now());
-    clock.after(wait, () => this.#plan());
+    this.#plans.want();
   }
 
   #readInbox(rows: readonly Row[]): void {
@@ -280,13 +262,6 @@
     return Promise.resolve(carePeriodMs);
   }
 
-  #plan(): void {
-    this.#planWanted = false;
-    if (this.#stopped) return;
-    this.#lastPlanAt = this.parts.clock.now();
-    this.#placer.pass(this.#activeJobs());
-  }
-
   /** Whether a run that was intended should still start. */
   #isWanted(run: Run): boolean {
     const job = this.book.jobs.get(run.job);
--- /dev/null
+++ b/test/scheduler/plan_timer_test.ts
@@ -0,0 +1,40 @@
+/** How often passes take place while changes pour in. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { VirtualClock } from "../../sim/virtual_clock.ts";
+import { PlanTimer } from "../../src/scheduler/index.ts";
+
+/** Passes within a second of changes each 2 ms. */
+async function passesWith(jobs: number): Promise<number> {
+  const clock = new VirtualClock();
+  let passes = 0;
+  const timer = new PlanTimer(clock, () => jobs, () => passes++);
+  for (let ms = 0; ms < 1_000; ms += 2) {
+    timer.want();
+    await clock.advance(2);
+  }
+  return passes;
+}
+
+describe("passes of placement", () => {
+  it("come each 10 ms with few jobs", async () => {
+    const passes = await passesWith(20);
+    assert.ok(passes > 80 && passes <= 101, `${passes}`);
+  });
+
+  it("come less often in an overload, but ten times a second", async () => {
+    const passes = await passesWith(1_500);
+    assert.ok(passes < 25, `${passes}`);
+    assert.ok(await passesWith(50_000) >= 9);
+  });
+
+  it("end when the shard is given up", async () => {
+    const clock = new VirtualClock();
+    let passes = 0;
+    const timer = new PlanTimer(clock, () => 1, () => passes++);
+    timer.want();
+    timer.stop();
+    await clock.advance(1_000);
+    assert.equal(passes, 0);
+  });
+});
