--- a/src/scheduler/missed_demands.ts
+++ b/src/scheduler/missed_demands.ts
@@ -31,17 +31,17 @@
     return this.#count;
   }
 
-  /** Notes that a task of the step found no place. */
+  /** Notes that a step missed. */
   add(spec: JobSpec, step: StepSpec): void {
     this.#count++;
-    if (takesAnyEndpoint(spec, step)) this.#missed.push(roomOf(step));
+    if (takesAnyEndpoint(spec, step) && !this.covers(step)) {
+      this.#missed.push(roomOf(step));
+    }
   }
 
-  /** Whether the step misses as well, without a try; if so it is counted. */
-  takes(step: StepSpec): boolean {
+  /** Whether the step would miss as well. */
+  covers(step: StepSpec): boolean {
     const demand = roomOf(step);
-    const misses = this.#missed.some((each) => asksForAsMuch(demand, each));
-    if (misses) this.#count++;
-    return misses;
+    return this.#missed.some((each) => asksForAsMuch(demand, each));
   }
 }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -185,6 +185,8 @@
   readonly isShort: boolean;
 }
 
+const nothingPlaced: PlacedStep = { placed: [], isShort: true };
+
 /** Places tasks of a step until one finds no place, at most `most`. */
 function placeStep(
   pass: Pass,
@@ -223,8 +225,9 @@
     if (left <= 0 || missed.count >= maxMissedSteps) break;
     const { spec } = waiting.job;
     const step = spec.steps[waiting.ready.step];
-    if (missed.takes(step)) continue;
-    const { placed, isShort } = placeStep(pass, waiting, left);
+    const { placed, isShort } = missed.covers(step)
+      ? nothingPlaced
+      : placeStep(pass, waiting, left);
     if (isShort) missed.add(spec, step);
     planned.push(...placed);
   }
