Take out what the last read of the change found needless

The caretaker spells a task's name by hand beside taskName; the owner lists tasks to ask whether any waits, where the ready steps carry that count; the first progress needs no exception among the ready steps that are kept; a function is exported that only its module uses.

--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -277,7 +277,10 @@
   readonly waiting: number;
 }
 
-/** Found ready steps; a progress never changes, and belongs to one job. */
+/**
+ * Found ready steps. A progress never changes, and belongs to one job, but for
+ * the first one, which has none for any job.
+ */
 const knownReady = new WeakMap<Progress, readonly ReadyStep[]>();
 
 /** The steps whose tasks may run now and are not all done. */
@@ -285,8 +288,7 @@
   const known = knownReady.get(p);
   if (known !== undefined) return known;
   const ready = findReadySteps(p, spec);
-  // The first progress is one value for all jobs.
-  if (p !== freshProgress) knownReady.set(p, ready);
+  knownReady.set(p, ready);
   return ready;
 }
 
--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -2,7 +2,7 @@
  * Looks after runs that go wrong or are in the way: stops those that stand
  * still, and moves long-running tasks off endpoints that are about to leave.
  */
-import { isFinal, taskAt } from "../batch/index.ts";
+import { isFinal, taskAt, taskName } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import type { RowKey, RowPut } from "../store/index.ts";
 import type { EndpointDriver } from "./endpoint_driver.ts";
@@ -122,8 +122,7 @@
     const placement = taskAt(job.progress, ref)?.placement;
     if (placement === undefined) return false;
     const session = this.parts.driver.session(placement.endpoint);
-    const name = `${job.spec.id}.${ref.occurrence}.${ref.step}.${ref.index}`;
-    const run = session?.find(name, placement.run);
+    const run = session?.find(taskName(job.spec.id, ref), placement.run);
     if (session === undefined || run === undefined) return false;
     if (session.newsAge(this.parts.clock.now()) > newsLimitMs) return false;
     return run.phase === "running" && run.percent === atWork;
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -6,7 +6,7 @@
 export { type BookedJob, JobBook } from "./job_book.ts";
 export { ArrivalRate } from "./arrival_rate.ts";
 export { type CareDriver, Caretaker } from "./caretaker.ts";
-export { planSpacing, PlanTimer } from "./plan_timer.ts";
+export { PlanTimer } from "./plan_timer.ts";
 export { RunIndex } from "./run_index.ts";
 export { compareRanks, putOff, rankAt, timesOf } from "./order.ts";
 export { paceRuns, worstLoad } from "./pace.ts";
--- a/src/scheduler/missed_demands.ts
+++ b/src/scheduler/missed_demands.ts
@@ -11,9 +11,8 @@
  * label, a spread, tickets or settled endpoints may miss where others fit.
  */
 function takesAnyEndpoint({ advised }: JobSpec, step: StepSpec): boolean {
-  return !advised && step.label === "" && step.maxPerEndpoint <= 0 &&
-    !step.gang &&
-    step.maxUnavailable === undefined;
+  return !advised && !step.gang && step.label === "" &&
+    step.maxPerEndpoint <= 0 && step.maxUnavailable === undefined;
 }
 
 function asksForAsMuch(a: Resources, b: Resources): boolean {
--- a/src/scheduler/plan_timer.ts
+++ b/src/scheduler/plan_timer.ts
@@ -15,7 +15,7 @@
 const maxSpacingMs = 100;
 
 /** Least time between two passes over that many jobs, in ms. */
-export function planSpacing(jobs: number): number {
+function planSpacing(jobs: number): number {
   const spacing = Math.max(minSpacingMs, jobs * spacingPerJobMs);
   return Math.min(maxSpacingMs, spacing);
 }
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -20,8 +20,8 @@
   placedTasks,
   progressKey,
   progressRange,
+  readySteps,
   type RunEnd,
-  startableTasks,
   taskAt,
   taskName,
   type TaskRef,
@@ -154,7 +154,7 @@
   /** Whether no task waits for a place and few jobs arrive. */
   get isQuiet(): boolean {
     return this.#activeJobs().every(({ progress, spec }) =>
-      startableTasks(progress, spec).length === 0
+      readySteps(progress, spec).every((ready) => ready.waiting === 0)
     ) && this.#demand.isQuiet;
   }
 
