--- a/sim/model_endpoints.ts
+++ b/sim/model_endpoints.ts
@@ -88,10 +88,11 @@
 
   /** Ends the life and all that runs in it. */
   crash(): void {
-    this.isUp = false;
     for (const { task, run } of this.runs.values()) {
-      this.oracle.ended(task, run, this.info.id, "lost");
+      const wasAtWork = this.isAtWork(task);
+      this.oracle.ended(task, run, this.info.id, "lost", wasAtWork);
     }
+    this.isUp = false;
     this.runs.clear();
     this.#wake();
   }
@@ -114,13 +115,16 @@
     return this.#done();
   }
 
-  /** Carries out a stop. */
-  stop(order: StopOrder): OrderOutcome {
+  /** Carries out a stop; `isLate`: long after it was sent. */
+  stop(order: StopOrder, isLate: boolean): OrderOutcome {
     if (!this.#admits(order.term)) return rejected("fenced");
     const highest = this.#highest.get(order.task) ?? 0;
     this.#highest.set(order.task, Math.max(highest, order.run));
     const run = this.runs.get(order.task);
     if (run !== undefined && run.run <= order.run && !run.stopping) {
+      if (this.isAtWork(run.task)) {
+        this.oracle.stopping(run.task, run.run, this.info.id, isLate);
+      }
       run.stopping = true;
       this.clock.after(stopMs, () => this.#end(run, "stopped"));
     }
@@ -192,9 +196,10 @@
 
   #end(run: ModelRun, end: EndKind): void {
     if (!this.isUp || this.runs.get(run.task) !== run) return;
+    const wasAtWork = this.isAtWork(run.task);
     this.runs.delete(run.task);
     this.#ends.push({ seq: ++this.#seq, task: run.task, run: run.run, end });
-    this.oracle.ended(run.task, run.run, this.info.id, end);
+    this.oracle.ended(run.task, run.run, this.info.id, end, wasAtWork);
     this.#wake();
   }
 
@@ -244,6 +249,9 @@
 
 const noAnswer = { kind: "unknown", message: "no answer" } as const;
 
+/** Carries an order out; `isLate`: after its sender has given it up. */
+type OrderAction = (endpoint: ModelEndpoint, isLate: boolean) => OrderOutcome;
+
 /** Orders of one process to the model's endpoints. */
 export class ModelOrders implements TaskOrders {
   /** Share of orders that go unanswered and act late. */
@@ -261,7 +269,7 @@
   }
 
   stop(to: TaskEndpoint, order: StopOrder): Promise<OrderOutcome> {
-    return this.#send(to, (endpoint) => endpoint.stop(order));
+    return this.#send(to, (endpoint, isLate) => endpoint.stop(order, isLate));
   }
 
   pace(): Promise<OrderOutcome> {
@@ -286,14 +294,14 @@
 
   #send(
     to: TaskEndpoint,
-    act: (endpoint: ModelEndpoint) => OrderOutcome,
+    act: OrderAction,
   ): Promise<OrderOutcome> {
     return this.process.deliver(this.#order(to, act));
   }
 
   async #order(
     to: TaskEndpoint,
-    act: (endpoint: ModelEndpoint) => OrderOutcome,
+    act: OrderAction,
   ): Promise<OrderOutcome> {
     await this.#wait(wayMs);
     const endpoint = this.#reach(to);
@@ -303,12 +311,12 @@
     }
     if (this.random() < this.lateShare) {
       this.clock.after(this.random() * lateMs, () => {
-        if (endpoint.isUp) act(endpoint);
+        if (endpoint.isUp) act(endpoint, true);
       });
       await this.#wait(orderMs);
       return noAnswer;
     }
-    const outcome = act(endpoint);
+    const outcome = act(endpoint, false);
     await this.#wait(wayMs);
     return outcome;
   }
--- a/sim/oracle.ts
+++ b/sim/oracle.ts
@@ -6,6 +6,9 @@
 /** Time after a cancellation's answer in which tasks may still start, in ms. */
 const cancelMs = 3_000;
 
+/** Time without work after which a task counts as away whatever the cause. */
+const noticeMs = 4_500;
+
 /** A job as the oracle knows it: what its caller sent. */
 export interface JudgedJob {
   readonly id: string;
@@ -29,16 +32,20 @@
   readonly startedAt: number;
   endedAt?: number;
   end?: string;
+  /** When and why it was no longer at work; undefined before. */
+  left?: { readonly at: number; readonly byOrder: boolean };
   /** Whether the end was recorded while the lease still held. */
   noted: boolean;
 }
 
 interface JobRecord {
   readonly job: JudgedJob;
+  readonly sentAt: number;
   accepted: boolean;
   rejected: boolean;
   /** Whether some attempt ended without a clear answer. */
   unclear: boolean;
+  isCancelling: boolean;
   cancelledAt?: number;
 }
 
@@ -69,16 +76,22 @@
   readonly #runs = new Map<string, RunRecord[]>();
   readonly #hostTerms = new Map<string, number>();
 
-  constructor(private readonly now: () => number) {}
+  /** `isAtWork`: whether a task is at work anywhere at this moment. */
+  constructor(
+    private readonly now: () => number,
+    private readonly isAtWork: (task: string) => boolean,
+  ) {}
 
   /** A caller sent a job. */
   sent(job: JudgedJob): void {
     if (this.#jobs.has(job.id)) return;
     this.#jobs.set(job.id, {
       job,
+      sentAt: this.now(),
       accepted: false,
       rejected: false,
       unclear: false,
+      isCancelling: false,
     });
   }
 
@@ -91,6 +104,12 @@
     if (answer === "unclear") record.unclear = true;
   }
 
+  /** A cancellation was sent. */
+  cancelling(id: string): void {
+    const record = this.#jobs.get(id);
+    if (record !== undefined) record.isCancelling = true;
+  }
+
   /** A cancellation was answered with success. */
   cancelled(id: string): void {
     const record = this.#jobs.get(id);
@@ -132,13 +151,25 @@
     });
   }
 
-  /** A run ended, or its endpoint did. */
-  ended(task: string, run: number, endpoint: string, end: string): void {
-    const record = this.#runs.get(task)?.find((r) =>
-      r.run === run && r.endpoint === endpoint && r.endedAt === undefined
-    );
+  /** A stop was carried out on a task at work; `isLate`: it was held up. */
+  stopping(task: string, run: number, endpoint: string, isLate: boolean): void {
+    if (!isLate) this.#checkStop(task);
+    const record = this.#openRun(task, run, endpoint);
+    if (record !== undefined) record.left = { at: this.now(), byOrder: true };
+  }
+
+  /** A run ended, or its endpoint did; `wasAtWork`: it was until then. */
+  ended(
+    task: string,
+    run: number,
+    endpoint: string,
+    end: string,
+    wasAtWork: boolean,
+  ): void {
+    const record = this.#openRun(task, run, endpoint);
     if (record === undefined) return;
     record.endedAt = this.now();
+    if (wasAtWork) record.left ??= { at: this.now(), byOrder: false };
     record.end = end;
     if (end === "done") this.tally.done++;
     if (end === "failed") this.tally.failed++;
@@ -155,19 +186,18 @@
   }
 
   /** An order about a host was carried out; `atWork` ended with it. */
-  hostOrder(
-    host: string,
-    term: number,
-    atWork: readonly string[],
-    isAtWork: (task: string) => boolean,
-  ): void {
+  hostOrder(host: string, term: number, atWork: readonly string[]): void {
     this.tally.hostOrders++;
     const before = this.#hostTerms.get(host) ?? 0;
     if (term < before) {
       this.#violate("ONE", `${host}: term ${term} after ${before}`);
     }
     this.#hostTerms.set(host, Math.max(before, term));
-    for (const task of atWork) this.#checkBudget(task, isAtWork);
+    for (const task of atWork) {
+      this.#checkHostOrder(task);
+      const record = this.#runs.get(task)?.at(-1);
+      if (record !== undefined) record.left = { at: this.now(), byOrder: true };
+    }
   }
 
   /** Judges the whole run; `phases` are what callers were told at the end. */
@@ -195,22 +225,52 @@
     }
   }
 
-  #checkBudget(task: string, isAtWork: (task: string) => boolean): void {
+  /** A host order must leave alone what another task's absence needs. */
+  #checkHostOrder(task: string): void {
+    this.#checkBudget(task, (other) => !this.isAtWork(other));
+  }
+
+  /** Another task counts only once its absence could have been noticed. */
+  #checkStop(task: string): void {
+    this.#checkBudget(task, (other) => this.#isNoticedAway(other));
+  }
+
+  #checkBudget(task: string, isAway: (task: string) => boolean): void {
     const [id, occurrence, step, index] = task.split(".");
     const record = this.#jobs.get(id);
     const spec = record?.job.steps[Number(step)];
-    if (spec?.maxUnavailable === undefined) return;
-    if (record?.cancelledAt !== undefined) return;
+    if (spec?.maxUnavailable === undefined || record?.isCancelling) return;
     let away = 0;
     for (let i = 0; i < spec.count; i++) {
       if (i === Number(index)) continue;
-      if (!isAtWork(`${id}.${occurrence}.${step}.${i}`)) away++;
+      if (isAway(`${id}.${occurrence}.${step}.${i}`)) away++;
     }
     if (away >= spec.maxUnavailable) {
       this.#violate("AVAIL", `${task} ended with ${away} others away`);
     }
   }
 
+  /** Away by an order, or for `noticeMs` for any cause. */
+  #isNoticedAway(task: string): boolean {
+    if (this.isAtWork(task)) return false;
+    const [id] = task.split(".");
+    const left = this.#runs.get(task)?.findLast((r) => r.left !== undefined)
+      ?.left;
+    if (left?.byOrder) return true;
+    const since = left?.at ?? this.#jobs.get(id)?.sentAt ?? Infinity;
+    return this.now() - since >= noticeMs;
+  }
+
+  #openRun(
+    task: string,
+    run: number,
+    endpoint: string,
+  ): RunRecord | undefined {
+    return this.#runs.get(task)?.find((r) =>
+      r.run === run && r.endpoint === endpoint && r.endedAt === undefined
+    );
+  }
+
   #checkRuns({ job }: JobRecord): void {
     for (const [task, runs] of this.#runs) {
       if (!task.startsWith(`${job.id}.`)) continue;
--- a/sim/world.ts
+++ b/sim/world.ts
@@ -67,7 +67,10 @@
 /** The model. */
 export class World {
   readonly clock = new VirtualClock();
-  readonly oracle = new Oracle(() => this.clock.now());
+  readonly oracle = new Oracle(
+    () => this.clock.now(),
+    (task) => this.hosts.some((h) => h.endpoint?.isAtWork(task)),
+  );
   readonly random: () => number;
   readonly store: ModelStore;
   readonly entries = new Map<string, ModelEntry>();
@@ -193,6 +196,7 @@
   async cancel(id: string, entry: string): Promise<void> {
     const spec = this.specs.get(id);
     if (spec === undefined) return;
+    this.oracle.cancelling(id);
     const done = await this.#intake(entry).cancel(this.#request(spec, 3_000));
     if (done.ok && done.val) this.oracle.cancelled(id);
   }
@@ -373,12 +377,7 @@
     const { endpoint } = host;
     const atWork = [...endpoint?.runs.keys() ?? []]
       .filter((task) => endpoint?.isAtWork(task));
-    this.oracle.hostOrder(
-      name,
-      holder.term,
-      atWork,
-      (task) => this.hosts.some((h) => h.endpoint?.isAtWork(task)),
-    );
+    this.oracle.hostOrder(name, holder.term, atWork);
     endpoint?.crash();
     if (endpoint !== undefined) this.#unregister(endpoint.info);
     host.state = pool === undefined ? "upkeep" : "moving";
