Tell what a stop was decided by, and when it reached its endpoint late

It now carries the age of what the endpoint told last and the tasks of the step that are away; new lines say that a task stays for want of a budget, and that a stop was answered only after several attempts. The count moves into a module of its own (scheduler/availability).

--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -2,9 +2,11 @@
  * Looks after runs that go wrong or are in the way: stops those that stand
  * still, and moves long-running tasks off endpoints that are about to leave.
  */
-import { isFinal, taskAt, taskName } from "../batch/index.ts";
+import { isFinal } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import type { RowKey, RowPut } from "../store/index.ts";
+import { atWork, reviewStep, type StepAvailability } from "./availability.ts";
+import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointDriver } from "./endpoint_driver.ts";
 import type { EndpointSession, Run } from "./endpoint_session.ts";
 import type { BookedJob, JobBook } from "./job_book.ts";
@@ -21,15 +23,6 @@
 /** Time that short tasks get to end before maintenance, in ms. */
 const shortTasksMs = 5_000;
 
-/** Percentage at which a long-running task is at work. */
-const atWork = 100;
-
-/**
- * Age of an endpoint's lists from which its tasks no longer count as at work,
- * in ms: a hold's wait and its time limit, and a second hold.
- */
-const newsLimitMs = 2_500;
-
 /** What the caretaker asks of a shard's drivers. */
 export interface CareDriver
   extends Pick<EndpointDriver, "sessions" | "session" | "endLife"> {
@@ -40,6 +33,7 @@
 export interface CareParts {
   readonly shard: string;
   readonly clock: Clock;
+  readonly log: DecisionLog;
   readonly book: JobBook;
   readonly driver: CareDriver;
   readonly vacating: () => ReadonlyMap<string, VacateState>;
@@ -54,6 +48,8 @@
   readonly #reported = new Set<string>();
   /** Steady time since which an endpoint is being emptied. */
   readonly #leavingSince = new Map<string, number>();
+  /** Other tasks that were away when a run was last told to stay. */
+  readonly #kept = new WeakMap<Run, number>();
 
   constructor(private readonly parts: CareParts) {}
 
@@ -67,7 +63,7 @@
         continue;
       }
       this.#stopStalled(session);
-      const leaving = vacating.has(session.endpoint.id);
+      const leaving = vacating.has(id);
       if (leaving || session.endpoint.draining) this.#moveAway(session);
       if (leaving) this.#reportVacated(session);
     }
@@ -93,7 +89,8 @@
       if (!isStalled(run, now)) continue;
       this.parts.book.noteFailure(job, run.ref, session.endpoint.id);
       session.suspicion = afterFailure(session.suspicion, run.job, now);
-      this.parts.driver.runs.stop(session, run, "no progress");
+      const basis = { newsMs: this.#newsMs(session) };
+      this.parts.driver.runs.stop(session, run, "no progress", basis);
     }
   }
 
@@ -101,31 +98,41 @@
     for (const run of session.runs.values()) {
       if (run.phase !== "running" || !run.step.longRunning) continue;
       const job = this.parts.book.jobs.get(run.job);
-      if (job === undefined || !this.#mayInterrupt(job, run)) continue;
-      this.parts.driver.runs.stop(session, run, "endpoint leaves");
+      if (job === undefined) continue;
+      const step = this.#review(job, run);
+      if (!step.allows) {
+        this.#tellKept(session, run, step);
+        continue;
+      }
+      const basis = { away: step.away, newsMs: this.#newsMs(session) };
+      this.parts.driver.runs.stop(session, run, "endpoint leaves", basis);
     }
   }
 
-  /** Whether the step's availability budget allows one more interruption. */
-  #mayInterrupt(job: BookedJob, run: Run): boolean {
-    const { maxUnavailable, count } = run.step;
-    if (maxUnavailable === undefined) return true;
-    let away = 0;
-    for (let index = 0; index < count; index++) {
-      if (index === run.ref.index) continue;
-      if (!this.#isAtWork(job, { ...run.ref, index })) away++;
-    }
-    return away < maxUnavailable;
+  #review(job: BookedJob, run: Run): StepAvailability {
+    const { driver, clock } = this.parts;
+    return reviewStep(job, run, (id) => driver.session(id), clock.now());
+  }
+
+  /** Age of what the endpoint told last, in whole ms. */
+  #newsMs(session: EndpointSession): number {
+    return Math.round(session.newsAge(this.parts.clock.now()));
   }
 
-  #isAtWork(job: BookedJob, ref: Run["ref"]): boolean {
-    const placement = taskAt(job.progress, ref)?.placement;
-    if (placement === undefined) return false;
-    const session = this.parts.driver.session(placement.endpoint);
-    const run = session?.find(taskName(job.spec.id, ref), placement.run);
-    if (session === undefined || run === undefined) return false;
-    if (session.newsAge(this.parts.clock.now()) > newsLimitMs) return false;
-    return run.phase === "running" && run.percent === atWork;
+  /** Tells once that a task stays for want of a budget. */
+  #tellKept(session: EndpointSession, run: Run, step: StepAvailability): void {
+    if (this.#kept.get(run) === step.away) return;
+    this.#kept.set(run, step.away);
+    this.parts.log.decision("task-kept", {
+      shard: this.parts.shard,
+      job: run.job,
+      task: run.name,
+      run: run.run,
+      endpoint: session.endpoint.id,
+      away: step.away,
+      maxUnavailable: run.step.maxUnavailable,
+      newsMs: this.#newsMs(session),
+    });
   }
 
   /**
--- a/src/scheduler/driver_parts.ts
+++ b/src/scheduler/driver_parts.ts
@@ -7,7 +7,7 @@
   type ShardLease,
 } from "../cluster/index.ts";
 import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
-import type { DecisionLog } from "./decision_log.ts";
+import type { DecisionFields, DecisionLog } from "./decision_log.ts";
 import {
   clockDrift,
   deliveryMs,
@@ -89,15 +89,17 @@
   run.changedAt = now;
 }
 
-/** Tells a decision about a run. */
+/** Tells a decision about a run, and what else it went by. */
 export function logRun(
   { log, shard, lease }: DriverParts,
   event: string,
   session: EndpointSession,
   run: Run,
   reason: string,
+  basis: DecisionFields = {},
 ): void {
   log.decision(event, {
+    ...basis,
     shard,
     term: lease.term,
     job: run.job,
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -1,6 +1,7 @@
 /** Starts, stops and paces single runs, and settles what had no answer. */
 import { delay } from "../clock/index.ts";
 import type { Rejection } from "../endpoint/index.ts";
+import type { DecisionFields } from "./decision_log.ts";
 import {
   type DriverParts,
   logRun,
@@ -67,17 +68,26 @@
     this.control.wake(session);
   }
 
-  /** Stops a run and settles it, however long that takes. */
+  /**
+   * Stops a run and settles it, however long that takes; `basis` is what the
+   * stop was decided by, for the log.
+   */
   async stop(
     session: EndpointSession,
     run: Run,
     reason: string,
+    basis: DecisionFields = {},
   ): Promise<void> {
     if (run.phase === "stopping" || run.phase === "intended") return;
     this.#setPhase(run, "stopping");
-    logRun(this.parts, "task-stopped", session, run, reason);
+    logRun(this.parts, "task-stopped", session, run, reason, basis);
     const { orders, lease, clock } = this.parts;
-    while (session.runs.get(run.name) === run && !session.closed) {
+    const decidedAt = clock.now();
+    for (
+      let attempts = 1;
+      session.runs.get(run.name) === run && !session.closed;
+      attempts++
+    ) {
       const outcome = await orders.stop(session.endpoint, {
         term: lease.term,
         task: run.name,
@@ -86,6 +96,11 @@
       if (this.control.isStopped) return;
       if (outcome.kind === "done") {
         run.stoppedAt = clock.now();
+        if (attempts > 1) {
+          const afterMs = Math.round(run.stoppedAt - decidedAt);
+          const delayed = { attempts, afterMs };
+          logRun(this.parts, "stop-delayed", session, run, reason, delayed);
+        }
         this.control.wake(session);
         return;
       }
--- a/test/scheduler/caretaker_test.ts
+++ b/test/scheduler/caretaker_test.ts
@@ -51,6 +51,7 @@
     return new Caretaker({
       shard: "p",
       clock: { now: () => now, wall: () => now, after: () => () => {} },
+      log: { decision: () => {} },
       book,
       driver,
       vacating: () => new Map([["a", "emptying" as const]]),
