Ask the availability budget anew before each attempt of a stop

Callers of a lasting service would see more of its tasks away at once than its budget allows (AVAIL). Cause: the budget was asked once, when the stop was decided; the stop was then sent again each 250 ms, for as long as the endpoint did not answer, and ended its task whenever it got through. In those seconds other tasks of the step may have been lost.

A stop now carries its grounds, which are asked before each attempt: that the endpoint still leaves, that it is heard of, and that the budget allows it. One whose grounds have gone is not sent again, and the run counts as doubtful until the endpoint's lists tell whether an attempt got through.

Ruled out: a shorter limit of attempts alone, as the endpoint's silence is what makes the count old; and stops only on endpoints heard of, as that does not cover a lost answer.

--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -5,7 +5,12 @@
 import { isFinal } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import type { RowKey, RowPut } from "../store/index.ts";
-import { atWork, reviewStep, type StepAvailability } from "./availability.ts";
+import {
+  atWork,
+  isHeard,
+  reviewStep,
+  type StepAvailability,
+} from "./availability.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointDriver } from "./endpoint_driver.ts";
 import type { EndpointSession, Run } from "./endpoint_session.ts";
@@ -63,9 +68,8 @@
         continue;
       }
       this.#stopStalled(session);
-      const leaving = vacating.has(id);
-      if (leaving || session.endpoint.draining) this.#moveAway(session);
-      if (leaving) this.#reportVacated(session);
+      if (this.#isLeaving(session)) this.#moveAway(session);
+      if (vacating.has(id)) this.#reportVacated(session);
     }
     for (const id of this.#leavingSince.keys()) {
       if (!vacating.has(id)) this.#leavingSince.delete(id);
@@ -89,12 +93,20 @@
       if (!isStalled(run, now)) continue;
       this.parts.book.noteFailure(job, run.ref, session.endpoint.id);
       session.suspicion = afterFailure(session.suspicion, run.job, now);
-      const basis = { newsMs: this.#newsMs(session) };
-      this.parts.driver.runs.stop(session, run, "no progress", basis);
+      this.parts.driver.runs.stop(session, run, "no progress", {
+        basis: { newsMs: this.#newsMs(session) },
+        hold: () => true,
+      });
     }
   }
 
+  #isLeaving({ endpoint }: EndpointSession): boolean {
+    return endpoint.draining || this.parts.vacating().has(endpoint.id);
+  }
+
+  /** Endpoints that are not heard of can't be moved away from. */
   #moveAway(session: EndpointSession): void {
+    if (!isHeard(session, this.parts.clock.now())) return;
     for (const run of session.runs.values()) {
       if (run.phase !== "running" || !run.step.longRunning) continue;
       const job = this.parts.book.jobs.get(run.job);
@@ -104,8 +116,13 @@
         this.#tellKept(session, run, step);
         continue;
       }
-      const basis = { away: step.away, newsMs: this.#newsMs(session) };
-      this.parts.driver.runs.stop(session, run, "endpoint leaves", basis);
+      this.parts.driver.runs.stop(session, run, "endpoint leaves", {
+        basis: { away: step.away, newsMs: this.#newsMs(session) },
+        hold: () =>
+          this.#isLeaving(session) &&
+          isHeard(session, this.parts.clock.now()) &&
+          this.#review(job, run).allows,
+      });
     }
   }
 
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -24,6 +24,16 @@
 /** Time for which an endpoint that could not be reached gets no task, in ms. */
 const unreachableMs = 1_000;
 
+/** Why a run may be stopped. */
+export interface StopGrounds {
+  /** What the stop was decided by, for the log. */
+  readonly basis: DecisionFields;
+  /** Whether it may still be sent; asked anew before each attempt. */
+  readonly hold: () => boolean;
+}
+
+const unconditional: StopGrounds = { basis: {}, hold: () => true };
+
 /** Sends the orders about single runs. */
 export class RunOrders {
   constructor(
@@ -69,18 +79,18 @@
   }
 
   /**
-   * Stops a run and settles it, however long that takes; `basis` is what the
-   * stop was decided by, for the log.
+   * Stops a run and settles it, however long that takes. One whose grounds no
+   * longer hold is not sent again; the lists then tell whether it was stopped.
    */
   async stop(
     session: EndpointSession,
     run: Run,
     reason: string,
-    basis: DecisionFields = {},
+    grounds: StopGrounds = unconditional,
   ): Promise<void> {
     if (run.phase === "stopping" || run.phase === "intended") return;
     this.#setPhase(run, "stopping");
-    logRun(this.parts, "task-stopped", session, run, reason, basis);
+    logRun(this.parts, "task-stopped", session, run, reason, grounds.basis);
     const { orders, lease, clock } = this.parts;
     const decidedAt = clock.now();
     for (
@@ -88,6 +98,7 @@
       session.runs.get(run.name) === run && !session.closed;
       attempts++
     ) {
+      if (!grounds.hold()) return this.#withdrawStop(session, run, reason);
       const outcome = await orders.stop(session.endpoint, {
         term: lease.term,
         task: run.name,
@@ -114,6 +125,13 @@
     }
   }
 
+  /** An attempt without an answer may have stopped the run all the same. */
+  #withdrawStop(session: EndpointSession, run: Run, reason: string): void {
+    this.#setPhase(run, "doubtful");
+    logRun(this.parts, "stop-withdrawn", session, run, reason);
+    this.control.wake(session);
+  }
+
   /** Stops a run that nobody here asked for. */
   async stopForeign(
     session: EndpointSession,
--- a/test/sim/held_up_stop_test.ts
+++ b/test/sim/held_up_stop_test.ts
@@ -51,4 +51,11 @@
     await crashThenCut();
     assert.deepEqual(world.oracle.violations, []);
   });
+
+  it("takes the host down once the others are back at work", async () => {
+    await crashThenCut();
+    await world.pass(10_000);
+    assert.equal(world.waveStates.get("1"), "completed");
+    assert.deepEqual(world.oracle.violations, []);
+  });
 });
