Count a run's time without progress from its start, not from its intent

Cause: a run's clock for "no progress" began with its intent. While the store is away intents wait for their commit; as it came back their starts were sent, and 2.5 s having passed since the intent the next care pass stopped all of them as stalled. Their work was thrown away and, three jobs having failed there, their endpoints were left alone for 1.5 s and more, just when the backlog had to be worked off.

test/sim/stalled_runs_test.ts failed before: eight of eight runs stopped 30 ms after their start.

--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -60,7 +60,7 @@
   /** Steady time at which a stop was confirmed. */
   stoppedAt: number | undefined;
   percent: number;
-  /** Steady time at which the percentage last changed. */
+  /** Steady time at which its start was sent or its percentage last changed. */
   progressedAt: number;
   load: number | undefined;
   /** Share of its work that the run is allowed, 0 to 100. */
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -54,7 +54,8 @@
       return;
     }
     this.#setPhase(run, "starting");
-    if (run.checkpoint === "") run.begunAt = clock.now();
+    run.progressedAt = clock.now();
+    if (run.checkpoint === "") run.begunAt = run.progressedAt;
     const outcome = await orders.start(session.endpoint, {
       term: lease.term,
       task: run.name,
--- /dev/null
+++ b/test/sim/stalled_runs_test.ts
@@ -0,0 +1,40 @@
+/** Runs that seem to stand still, because nothing can be heard of them. */
+import assert from "node:assert/strict";
+import { afterEach, beforeEach, describe, it } from "node:test";
+import { Play } from "../../sim/actions.ts";
+import { World } from "../../sim/world.ts";
+
+/** Time without progress after which a run counts as stalled, and more. */
+const longMs = 3_500;
+
+describe("runs that nothing is heard of for a while", () => {
+  let world: World;
+  let play: Play;
+
+  /** Lines about stops of runs that seemed to stand still. */
+  function stalled(): readonly string[] {
+    return world.log.filter((line) => line.includes('"no progress"'));
+  }
+
+  beforeEach(async () => {
+    world = new World({ seed: 1, entries: 3, hostsPerPool: 4, workFactor: 12 });
+    play = new Play(world);
+    await world.pass(3_000);
+  });
+
+  afterEach(() => {
+    for (const entry of world.entries.values()) entry.process.kill();
+  });
+
+  // Guards against SHORT: after the store was away, tasks were stopped as soon
+  // as they began, and their endpoints left alone, as the wait counted as work.
+  it("go on when their start has waited for the store", async () => {
+    await play.act({ kind: "submit", job: "wide", pool: 0 });
+    await world.pass(10);
+    const away = { kind: "store", entry: "all", mood: "refuses" } as const;
+    await play.act({ ...away, ms: longMs });
+    await world.pass(longMs + 3_000);
+    assert.ok(world.oracle.tally.starts > 0);
+    assert.deepEqual(stalled(), []);
+  });
+});
