Judge a run's progress only by what its endpoint goes on telling

Callers had work thrown away and done again: a run counted as standing still when nothing had been heard of it for 2.5 s, whatever the cause. The stop could not be delivered to a silent endpoint; it was sent again until the cut healed and then ended what had run on behind it. The endpoint was suspected besides, and left alone for seconds after its return. Nor did such a stop ask whether a lasting task had come to work in the meantime.

An endpoint's own lists must now show 1.5 s without progress, and must be recent, before 2.5 s without it count; the stop is sent again only as long as that stands. Ruled out: to leave all to the lease, as endpoints that answer but stand still would hold their tasks.

Tests that failed before: the second of test/sim/stalled_runs_test.ts, two of test/scheduler/caretaker_test.ts.

--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -22,6 +22,12 @@
 /** Time without progress after which a run counts as standing still, in ms. */
 const stallMs = 2_500;
 
+/**
+ * Least time over which an endpoint's lists must have shown no progress, in
+ * ms: `stallMs` less a hold's wait.
+ */
+const toldStallMs = 1_500;
+
 /** Time in which a long-running task has to be at work, in ms. */
 const startupMs = 5_000;
 
@@ -90,12 +96,15 @@
         this.parts.driver.runs.stop(session, run, "job is final");
         continue;
       }
-      if (!isStalled(run, now)) continue;
+      if (!isStalled(session, run, now)) continue;
       this.parts.book.noteFailure(job, run.ref, session.endpoint.id);
       session.suspicion = afterFailure(session.suspicion, run.job, now);
+      const { progressedAt } = run;
       this.parts.driver.runs.stop(session, run, "no progress", {
         basis: { newsMs: this.#newsMs(session) },
-        hold: () => true,
+        hold: () =>
+          run.progressedAt === progressedAt &&
+          isHeard(session, this.parts.clock.now()),
       });
     }
   }
@@ -171,11 +180,16 @@
   }
 }
 
-function isStalled(run: Run, now: number): boolean {
+/**
+ * Whether an endpoint that is heard of tells of no progress. What it does not
+ * tell for want of a connection says nothing.
+ */
+function isStalled(session: EndpointSession, run: Run, now: number): boolean {
+  if (!isHeard(session, now)) return false;
+  const told = session.toldAt - run.progressedAt;
+  const stands = now - run.progressedAt > stallMs && told > toldStallMs;
   if (run.step.longRunning) {
-    return run.percent < atWork && now - run.changedAt > startupMs &&
-      now - run.progressedAt > stallMs;
+    return stands && run.percent < atWork && now - run.changedAt > startupMs;
   }
-  if (run.step.gang || run.pace < 100) return false;
-  return now - run.progressedAt > stallMs;
+  return stands && !run.step.gang && run.pace === 100;
 }
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -298,7 +298,7 @@
       return retryMs;
     }
     session.readClock(lists.clockMs, now);
-    session.noteAnswer(sentAt);
+    session.noteAnswer(sentAt, now);
     this.#settle(session, lists, sentAt, now);
     this.runs.paceFillers(session);
     if (!session.fenced) {
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -117,6 +117,8 @@
   #silentSince: number | undefined;
   /** Steady time at which the hold was sent that was answered last. */
   #heardOf = -Infinity;
+  /** Steady time of that answer. */
+  #toldAt = -Infinity;
   #used: Resources = nothing;
   #clockMs: number | undefined;
   #clockReadAt = 0;
@@ -151,10 +153,16 @@
     this.#silentSince ??= now;
   }
 
-  /** Notes that a hold sent at the steady time `sentAt` was answered. */
-  noteAnswer(sentAt: number): void {
+  /** Notes that a hold sent at the steady time `sentAt` was answered now. */
+  noteAnswer(sentAt: number, now: number): void {
     this.#silentSince = undefined;
     this.#heardOf = Math.max(this.#heardOf, sentAt);
+    this.#toldAt = now;
+  }
+
+  /** Steady time at which the endpoint told last. */
+  get toldAt(): number {
+    return this.#toldAt;
   }
 
   /** Time since the last moment of which the endpoint has told, in ms. */
--- a/test/scheduler/caretaker_test.ts
+++ b/test/scheduler/caretaker_test.ts
@@ -1,8 +1,8 @@
-/** Stops that the availability budget of a long-running step allows. */
+/** Stops of runs: what an availability budget allows, and what stands still. */
 import assert from "node:assert/strict";
 import { beforeEach, describe, it } from "node:test";
 import { plainStep } from "../../sim/jobs.ts";
-import { placeTask } from "../../src/batch/index.ts";
+import { placeTask, type StepSpec } from "../../src/batch/index.ts";
 import {
   type CareDriver,
   Caretaker,
@@ -16,16 +16,22 @@
 /** Time for which an endpoint that went dark has not answered, in ms. */
 const darkMs = 3_000;
 
-describe("emptying an endpoint for maintenance", () => {
+/** Time between two answers of an endpoint, in ms. */
+const answerMs = 1_000;
+
+describe("the caretaker of a shard", () => {
   let now = 0;
   let sessions: readonly EndpointSession[];
   let stopped: string[];
 
   /** Puts three tasks of a step at work, each at an endpoint of its own. */
   function care(maxUnavailable: number): Caretaker {
-    const book = new JobBook();
     const lasting = { longRunning: true, maxPerEndpoint: 1, maxUnavailable };
-    const step = { ...plainStep(3, []), ...lasting };
+    return careFor({ ...plainStep(3, []), ...lasting }, ["a"]);
+  }
+
+  function careFor(step: StepSpec, leaving: readonly string[]): Caretaker {
+    const book = new JobBook();
     const job = bookJob(book, "job", [step]);
     sessions = ["a", "b", "c"].map((id) => openSession(id));
     sessions.forEach((session, index) => {
@@ -35,7 +41,7 @@
       const name = `job.0.0.${index}`;
       const run = { name, ref, run: 1, step, percent: 100 };
       session.add(newRun("running", run));
-      session.noteAnswer(now);
+      session.noteAnswer(now, now);
     });
     const driver: CareDriver = {
       sessions: () => sessions,
@@ -54,7 +60,7 @@
       log: { decision: () => {} },
       book,
       driver,
-      vacating: () => new Map([["a", "emptying" as const]]),
+      vacating: () => new Map(leaving.map((id) => [id, "emptying" as const])),
       report: () => {},
       retract: () => {},
     });
@@ -63,8 +69,8 @@
   /** The endpoint of the second task stops answering; the others go on. */
   function goDark(): void {
     now += darkMs;
-    sessions[0].noteAnswer(now);
-    sessions[2].noteAnswer(now);
+    sessions[0].noteAnswer(now, now);
+    sessions[2].noteAnswer(now, now);
   }
 
   beforeEach(() => {
@@ -72,25 +78,57 @@
     stopped = [];
   });
 
-  it("stops a task while the others of its step are at work", () => {
-    const caretaker = care(1);
-    caretaker.pass();
-    assert.deepEqual(stopped, ["job.0.0.0"]);
-  });
-
-  describe("when another endpoint has gone dark without a word", () => {
-    it("counts its task as away, though it was at work when last seen", () => {
+  describe("when an endpoint is emptied for maintenance", () => {
+    it("stops a task while the others of its step are at work", () => {
       const caretaker = care(1);
-      goDark();
       caretaker.pass();
-      assert.deepEqual(stopped, []);
+      assert.deepEqual(stopped, ["job.0.0.0"]);
+    });
+
+    describe("when another endpoint has gone dark without a word", () => {
+      it("counts its task as away, though it was at work when last seen", () => {
+        const caretaker = care(1);
+        goDark();
+        caretaker.pass();
+        assert.deepEqual(stopped, []);
+      });
+
+      it("still stops the task when the budget allows one more", () => {
+        const caretaker = care(2);
+        goDark();
+        caretaker.pass();
+        assert.deepEqual(stopped, ["job.0.0.0"]);
+      });
     });
 
-    it("still stops the task when the budget allows one more", () => {
+    // Guards against AVAIL: the task would be ended whenever the stop arrives.
+    it("sends no stop to an endpoint that has fallen silent", () => {
       const caretaker = care(2);
-      goDark();
+      now += darkMs;
+      sessions[1].noteAnswer(now, now);
+      sessions[2].noteAnswer(now, now);
       caretaker.pass();
-      assert.deepEqual(stopped, ["job.0.0.0"]);
+      assert.deepEqual(stopped, []);
+    });
+  });
+
+  describe("when a run shows no progress", () => {
+    it("stops it if its endpoint has told so all the while", () => {
+      const caretaker = careFor(plainStep(3, []), []);
+      for (const end = now + 2 * darkMs; now < end; now += answerMs) {
+        sessions[0].noteAnswer(now, now);
+        caretaker.pass();
+      }
+      assert.deepEqual([...new Set(stopped)], ["job.0.0.0"]);
+    });
+
+    // Guards against work given up because its endpoint was only silent.
+    it("lets it go on if its endpoint says nothing", () => {
+      const caretaker = careFor(plainStep(3, []), []);
+      for (const end = now + 2 * darkMs; now < end; now += answerMs) {
+        caretaker.pass();
+      }
+      assert.deepEqual(stopped, []);
     });
   });
 });
--- a/test/sim/stalled_runs_test.ts
+++ b/test/sim/stalled_runs_test.ts
@@ -37,4 +37,15 @@
     assert.ok(world.oracle.tally.starts > 0);
     assert.deepEqual(stalled(), []);
   });
+
+  // Guards against work given up because its endpoint was only silent: stops
+  // waited for the cut to heal, and then ended what ran on behind it.
+  it("go on when their endpoint was cut off for a while", async () => {
+    await play.act({ kind: "submit", job: "wide", pool: 0 });
+    await world.pass(500);
+    const busy = world.hosts.findIndex((h) => (h.endpoint?.runs.size ?? 0) > 0);
+    world.cutHost(busy, longMs);
+    await world.pass(longMs + 3_000);
+    assert.deepEqual(stalled(), []);
+  });
 });
