Look at the age of the offers again after a renewal of the fleet's lease

Callers of a lasting service could lose a task to a move of its host (AVAIL). Cause: the age of the pools' offers (350 ms) was checked before each few orders, but an order may first renew the fleet's lease, which takes up to the time limit of a call of the store; with an order's own limit that is 3.6 s, more than the 2.5 s for which a withdrawn endpoint is kept from tasks with a budget.

test/upkeep/fleet_owner_test.ts, "gives no order by what it has read before", failed before (8 orders after 520 ms) and passes now; the next pass gives them.

--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -21,6 +21,7 @@
   HostControl,
   HostOrderOutcome,
   ListedHost,
+  OrderHolder,
 } from "./host_control.ts";
 import { giveOrders } from "./move_orders.ts";
 import {
@@ -198,7 +199,7 @@
     );
     // An offer that was read too long ago may have been withdrawn.
     const isFresh = () => clock.now() - now <= offerFreshnessMs;
-    await giveOrders(moves, isFresh, (move) => this.#move(move));
+    await giveOrders(moves, isFresh, (move) => this.#move(move, isFresh));
   }
 
   /**
@@ -257,10 +258,14 @@
   }
 
   /** Moves a host; false when no further order should be given now. */
-  async #move({ host, endpoint, from, to }: HostMove): Promise<boolean> {
+  async #move(
+    { host, endpoint, from, to }: HostMove,
+    mayGive: () => boolean,
+  ): Promise<boolean> {
     const { control, clock } = this.parts;
-    const outcome = await this.#order((holder) =>
-      control.move(host, to, holder)
+    const outcome = await this.#order(
+      (holder) => control.move(host, to, holder),
+      mayGive,
     );
     this.#logOrder("host-move", host, outcome, { from, to });
     if (outcome === undefined) return false;
@@ -272,16 +277,19 @@
     return outcome.kind === "done" || outcome.kind === "rejected";
   }
 
-  /** Gives an order while the lease is fresh; undefined when it isn't. */
+  /**
+   * Gives an order while the lease is fresh, and if it may still be given
+   * after a renewal; undefined when it was not given.
+   */
   async #order(
-    give: (
-      holder: { readonly entry: string; readonly term: number },
-    ) => Promise<HostOrderOutcome>,
+    give: (holder: OrderHolder) => Promise<HostOrderOutcome>,
+    mayGive: () => boolean = () => true,
   ): Promise<HostOrderOutcome | undefined> {
     const { clock, lease, entry } = this.parts;
     if (clock.now() < this.#startAt || !await this.#isLeaseFresh()) {
       return undefined;
     }
+    if (!mayGive()) return undefined;
     return await give({ entry, term: lease.term });
   }
 
--- a/test/upkeep/fleet_owner_test.ts
+++ b/test/upkeep/fleet_owner_test.ts
@@ -20,10 +20,14 @@
 /** Time that one order to the provider takes, in ms. */
 const orderMs = 12;
 
+/** Factor of the store's delays: reads take 160 ms, commits 360 ms. */
+const slowStore = 40;
+
 async function setUp() {
   const clock = new VirtualClock();
   const process = new ProcessClock(clock);
-  const store = new ModelStore(clock, () => 1).connect("a", process);
+  const model = new ModelStore(clock, () => 1);
+  const store = model.connect("a", process);
   const pass = async (ms: number) => {
     for (let left = ms; left > 0; left -= 2) {
       await clock.advance(2);
@@ -90,7 +94,7 @@
   await pass(400);
   const moved = () =>
     [...hosts.values()].filter((h) => h.pool === "quotes").length;
-  return { owner, lease, pass, moved };
+  return { owner, lease, model, pass, moved };
 }
 
 describe("the fleet's owner", () => {
@@ -111,4 +115,29 @@
       assert.equal(moved(), spares);
     });
   });
+
+  describe("when a renewal of its lease takes long", () => {
+    // Guards against AVAIL: the offers that the orders go by may be withdrawn
+    // meanwhile, and their endpoints have got tasks.
+    it("gives no order by what it has read before", async () => {
+      const { owner, lease, model, pass, moved } = await setUp();
+      await pass(1_500);
+      model.slowness = slowStore;
+      owner.pass();
+      await pass(1_000);
+      assert.equal(lease.ageMs < 1_000, true);
+      assert.equal(moved(), 0);
+    });
+
+    it("gives them in the next pass", async () => {
+      const { owner, model, pass, moved } = await setUp();
+      await pass(1_500);
+      model.slowness = slowStore;
+      owner.pass();
+      await pass(1_000);
+      owner.pass();
+      await pass(600);
+      assert.ok(moved() > 0);
+    });
+  });
 });
