--- a/test/sim/stalled_runs_test.ts
+++ b/test/sim/stalled_runs_test.ts
@@ -49,3 +49,20 @@
     assert.deepEqual(stalled(), []);
   });
 });
+
+describe("work that ends behind a cut", () => {
+  // Guards against a finding that is none: the lease has lapsed between the
+  // end and the note of it, so the end does not count.
+  it("may be done again once the lease is over", async () => {
+    const world = new World({ seed: 1, entries: 3, hostsPerPool: 4 });
+    await world.pass(3_000);
+    await new Play(world).act({ kind: "submit", job: "wide", pool: 0 });
+    await world.pass(60);
+    const busy = world.hosts.findIndex((h) => (h.endpoint?.runs.size ?? 0) > 0);
+    world.cutHost(busy, 6_500);
+    await world.pass(12_000);
+    assert.deepEqual(await world.finish(), []);
+    assert.ok(world.log.some((line) => line.includes("lost: lease over")));
+    for (const entry of world.entries.values()) entry.process.kill();
+  });
+});
