--- a/src/scheduler/availability.ts
+++ b/src/scheduler/availability.ts
@@ -12,6 +12,9 @@
 /** Percentage at which a long-running task is at work. */
 export const atWork = 100;
 
+/** Time in which a long-running task has to be at work, in ms. */
+export const startupMs = 5_000;
+
 /**
  * Age from which the lists of an endpoint say nothing of its tasks, in ms: a
  * hold's wait and its time limit, and half a second more.
@@ -29,6 +32,14 @@
   readonly allows: boolean;
 }
 
+/** Whether a long-running task there has begun and is not yet at work. */
+export function isStartingUp(session: EndpointSession, now: number): boolean {
+  return [...session.runs.values()].some((run) =>
+    run.step.longRunning && run.phase === "running" && run.percent < atWork &&
+    now - run.changedAt < startupMs
+  );
+}
+
 /** Whether an endpoint has told of its tasks recently enough. */
 export function isHeard(session: EndpointSession, now: number): boolean {
   return session.newsAge(now) <= newsLimitMs;
--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -9,6 +9,7 @@
   atWork,
   isHeard,
   reviewStep,
+  startupMs,
   type StepAvailability,
 } from "./availability.ts";
 import type { DecisionLog } from "./decision_log.ts";
@@ -28,9 +29,6 @@
  */
 const toldStallMs = 1_500;
 
-/** Time in which a long-running task has to be at work, in ms. */
-const startupMs = 5_000;
-
 /** Time that short tasks get to end before maintenance, in ms. */
 const shortTasksMs = 5_000;
 
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -17,6 +17,7 @@
   HoldOutcome,
   TaskEndpoint,
 } from "../endpoint/index.ts";
+import { isStartingUp } from "./availability.ts";
 import {
   type DriverParts,
   holdWithoutStoreMs,
@@ -37,6 +38,12 @@
 /** How long a hold waits for an end, in ms. */
 const holdWaitMs = 1_000;
 
+/**
+ * The same while a long-running task starts up, in ms: the next one of its
+ * step may be moved only when this one is known to be at work.
+ */
+const startupHoldMs = 250;
+
 /** Time after which an endpoint without runs is looked at again, in ms. */
 const idleHoldMs = 10_000;
 
@@ -247,7 +254,7 @@
       term: lease.term,
       recordedEnd: session.recordedEnd,
       ...(leaseUntil !== undefined && { leaseUntil }),
-      waitMs: session.runs.size > 0 && keeps ? holdWaitMs : 0,
+      waitMs: keeps ? this.#holdWait(session) : 0,
     });
     if (this.#stopped || session.closed) return 0;
     if (outcome.kind === "lists") {
@@ -256,6 +263,12 @@
     return this.#holdFailed(session, outcome);
   }
 
+  #holdWait(session: EndpointSession): number {
+    if (session.runs.size === 0) return 0;
+    const starts = isStartingUp(session, this.parts.clock.now());
+    return starts ? startupHoldMs : holdWaitMs;
+  }
+
   #holdFailed(
     session: EndpointSession,
     outcome: Exclude<HoldOutcome, { kind: "lists" }>,
