Give the hold loops, an attempt of a stop and stalls places of their own

The loops move to EndpointHolds; a stop is a loop over attempts; the rule for stalled runs is a pure module. StopGrounds.hold is now isDue, as hold is the name of an order. No change of behaviour.

--- a/src/scheduler/caretaker.ts
+++ b/src/scheduler/caretaker.ts
@@ -5,30 +5,16 @@
 import { isFinal } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import type { RowKey, RowPut } from "../store/index.ts";
-import {
-  atWork,
-  isHeard,
-  reviewStep,
-  startupMs,
-  type StepAvailability,
-} from "./availability.ts";
+import { isHeard, reviewStep, type StepAvailability } from "./availability.ts";
 import type { DecisionLog } from "./decision_log.ts";
 import type { EndpointDriver } from "./endpoint_driver.ts";
 import type { EndpointSession, Run } from "./endpoint_session.ts";
 import type { BookedJob, JobBook } from "./job_book.ts";
 import type { RunOrders } from "./run_orders.ts";
+import { isStalled } from "./stall.ts";
 import { vacatedKey, type VacateState } from "../upkeep/index.ts";
 import { afterFailure } from "./suspicion.ts";
 
-/** Time without progress after which a run counts as standing still, in ms. */
-const stallMs = 2_500;
-
-/**
- * Least time over which an endpoint's lists must have shown no progress, in
- * ms: `stallMs` less a hold's wait.
- */
-const toldStallMs = 1_500;
-
 /** Time that short tasks get to end before maintenance, in ms. */
 const shortTasksMs = 5_000;
 
@@ -100,7 +86,7 @@
       const { progressedAt } = run;
       this.parts.driver.runs.stop(session, run, "no progress", {
         basis: { newsMs: this.#newsMs(session) },
-        hold: () =>
+        isDue: () =>
           run.progressedAt === progressedAt &&
           isHeard(session, this.parts.clock.now()),
       });
@@ -125,7 +111,7 @@
       }
       this.parts.driver.runs.stop(session, run, "endpoint leaves", {
         basis: { away: step.away, newsMs: this.#newsMs(session) },
-        hold: () =>
+        isDue: () =>
           this.#isLeaving(session) &&
           isHeard(session, this.parts.clock.now()) &&
           this.#review(job, run).allows,
@@ -177,17 +163,3 @@
     this.parts.report({ ...key, value: "{}" });
   }
 }
-
-/**
- * Whether an endpoint that is heard of tells of no progress. What it does not
- * tell for want of a connection says nothing.
- */
-function isStalled(session: EndpointSession, run: Run, now: number): boolean {
-  if (!isHeard(session, now)) return false;
-  const told = session.toldAt - run.progressedAt;
-  const stands = now - run.progressedAt > stallMs && told > toldStallMs;
-  if (run.step.longRunning) {
-    return stands && run.percent < atWork && now - run.changedAt > startupMs;
-  }
-  return stands && !run.step.gang && run.pace === 100;
-}
--- /dev/null
+++ b/src/scheduler/endpoint_holds.ts
@@ -0,0 +1,215 @@
+/**
+ * Holds the leases of a shard's endpoints while anything may run there, and
+ * turns their lists into ends of runs: one loop of long polls an endpoint.
+ */
+import { parseTaskName } from "../batch/index.ts";
+import { delay } from "../clock/index.ts";
+import type {
+  EndedTask,
+  EndpointLists,
+  HoldOutcome,
+} from "../endpoint/index.ts";
+import { isStartingUp } from "./availability.ts";
+import {
+  type DriverParts,
+  holdWithoutStoreMs,
+  type SessionControl,
+} from "./driver_parts.ts";
+import type { EndpointSession } from "./endpoint_session.ts";
+import type { RunOrders } from "./run_orders.ts";
+import { afterFailure, noSuspicion } from "./suspicion.ts";
+
+/** How long a hold waits for an end, in ms. */
+const holdWaitMs = 1_000;
+
+/**
+ * The same while a long-running task starts up, in ms: the next one of its
+ * step may be moved only when this one is known to be at work.
+ */
+const startupHoldMs = 250;
+
+/** Time after which an endpoint without runs is looked at again, in ms. */
+const idleHoldMs = 10_000;
+
+/** Pause after a hold without an answer, in ms. */
+const retryMs = 250;
+
+/** The loops of one shard's endpoints. */
+export class EndpointHolds {
+  readonly #wakes = new Map<EndpointSession, () => void>();
+
+  constructor(
+    private readonly parts: DriverParts,
+    private readonly control: SessionControl,
+    private readonly runs: RunOrders,
+  ) {}
+
+  /** Holds an endpoint's leases until its life is over. */
+  async follow(session: EndpointSession): Promise<void> {
+    while (!this.control.isStopped && !session.closed) {
+      const pause = await this.#hold(session);
+      if (this.control.isStopped || session.closed) break;
+      if (pause > 0) await this.#pause(session, pause);
+    }
+    this.#wakes.delete(session);
+  }
+
+  /** Ends the pause before an endpoint's next hold. */
+  wake(session: EndpointSession): void {
+    this.#wakes.get(session)?.();
+  }
+
+  /** Ends all pauses. */
+  wakeAll(): void {
+    for (const wake of this.#wakes.values()) wake();
+  }
+
+  /** Sends one hold; returns the time until the next, in ms. */
+  async #hold(session: EndpointSession): Promise<number> {
+    const { orders, lease, clock } = this.parts;
+    const sentAt = clock.now();
+    // An endpoint that has fallen silent is given no more lease, so that the
+    // time after which nothing can run there stands still.
+    const keeps = lease.ageMs < holdWithoutStoreMs && !session.silent;
+    const leaseUntil = keeps ? session.askLease(sentAt) : undefined;
+    const outcome = await orders.hold(session.endpoint, {
+      term: lease.term,
+      recordedEnd: session.recordedEnd,
+      ...(leaseUntil !== undefined && { leaseUntil }),
+      waitMs: keeps ? this.#holdWait(session) : 0,
+    });
+    if (this.control.isStopped || session.closed) return 0;
+    if (outcome.kind === "lists") {
+      return await this.#takeLists(session, outcome.lists, sentAt);
+    }
+    return this.#holdFailed(session, outcome);
+  }
+
+  #holdWait(session: EndpointSession): number {
+    if (session.runs.size === 0) return 0;
+    const starts = isStartingUp(session, this.parts.clock.now());
+    return starts ? startupHoldMs : holdWaitMs;
+  }
+
+  #holdFailed(
+    session: EndpointSession,
+    outcome: Exclude<HoldOutcome, { kind: "lists" }>,
+  ): number {
+    const { clock, log, shard } = this.parts;
+    session.noteSilence(clock.now());
+    const reason = outcome.kind === "rejected"
+      ? outcome.reason
+      : outcome.message;
+    log.decision("hold-failed", {
+      shard,
+      endpoint: session.endpoint.id,
+      reason,
+      runs: session.runs.size,
+      leaseLeftMs: Math.round(session.leaseEndsBy - clock.now()),
+    });
+    if (reason === "fenced") this.parts.fenced();
+    else if (reason === "other-life") this.control.close(session, reason);
+    else if (clock.now() > session.leaseEndsBy) this.#leaseOver(session);
+    return retryMs;
+  }
+
+  /** Nothing can run there any more; what comes back is met anew. */
+  #leaseOver(session: EndpointSession): void {
+    session.fenced = false;
+    for (const run of [...session.runs.values()]) {
+      if (run.phase === "intended") continue;
+      this.control.finish(session, run, "lost", "lease over");
+    }
+  }
+
+  async #takeLists(
+    session: EndpointSession,
+    lists: EndpointLists,
+    sentAt: number,
+  ): Promise<number> {
+    const now = this.parts.clock.now();
+    if (lists.life !== session.endpoint.life) {
+      this.control.close(session, "another life");
+      return retryMs;
+    }
+    session.readClock(lists.clockMs, now);
+    session.noteAnswer(sentAt, now);
+    this.#settle(session, lists, sentAt, now);
+    this.runs.paceFillers(session);
+    if (!session.fenced) {
+      session.fenced = true;
+      this.parts.changed();
+    }
+    const lastSeq = lists.ended.at(-1)?.seq;
+    if (lastSeq !== undefined) await this.#recorded(session, lastSeq);
+    return session.runs.size > 0 || lastSeq !== undefined ? 0 : idleHoldMs;
+  }
+
+  #settle(
+    session: EndpointSession,
+    lists: EndpointLists,
+    sentAt: number,
+    now: number,
+  ): void {
+    const findings = session.compare(lists, sentAt, now);
+    for (const run of findings.confirmed) {
+      this.parts.begun(run);
+      // A run that an earlier owner started for a job that has since ended.
+      if (!this.parts.mayStart(run)) {
+        this.runs.stop(session, run, "unwanted");
+      }
+    }
+    for (const end of findings.ended) this.#takeEnd(session, end);
+    for (const run of findings.absent) {
+      this.control.finish(session, run, "not-started", "absent after a stop");
+    }
+    for (const run of findings.unsettled) {
+      this.runs.stop(session, run, "not listed");
+    }
+    for (const { task, run } of findings.foreign) {
+      this.runs.stopForeign(session, task, run);
+    }
+  }
+
+  #takeEnd(session: EndpointSession, ended: EndedTask): void {
+    const { task, run: number, end, checkpoint } = ended;
+    const run = session.find(task, number);
+    const now = this.parts.clock.now();
+    if (run !== undefined) {
+      if (end === "done") session.suspicion = noSuspicion;
+      if (end === "failed") {
+        session.suspicion = afterFailure(session.suspicion, run.job, now);
+      }
+      this.control.finish(session, run, end, "listed", checkpoint);
+      return;
+    }
+    const parsed = parseTaskName(task);
+    if (parsed === undefined) return;
+    const { job, ref } = parsed;
+    this.parts.endedElsewhere(job, ref, number, end, checkpoint);
+  }
+
+  /** Waits until the ends so far are committed; then they may be forgotten. */
+  async #recorded(session: EndpointSession, seq: number): Promise<void> {
+    const committed = new Promise<void>((resolve) => {
+      this.parts.afterCommit(() => {
+        session.recordedEnd = Math.max(session.recordedEnd, seq);
+        resolve();
+      });
+    });
+    // Leases go on being held while the store is away.
+    await Promise.race([committed, delay(this.parts.clock, holdWaitMs)]);
+  }
+
+  #pause(session: EndpointSession, ms: number): Promise<void> {
+    return new Promise((resolve) => {
+      const done = () => {
+        cancel();
+        this.#wakes.delete(session);
+        resolve();
+      };
+      const cancel = this.parts.clock.after(ms, done);
+      this.#wakes.set(session, done);
+    });
+  }
+}
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -28,11 +28,11 @@
 export interface StopGrounds {
   /** What the stop was decided by, for the log. */
   readonly basis: DecisionFields;
-  /** Whether it may still be sent; asked anew before each attempt. */
-  readonly hold: () => boolean;
+  /** Whether it is still due; asked anew before each attempt. */
+  readonly isDue: () => boolean;
 }
 
-const unconditional: StopGrounds = { basis: {}, hold: () => true };
+const unconditional: StopGrounds = { basis: {}, isDue: () => true };
 
 /** Sends the orders about single runs. */
 export class RunOrders {
@@ -80,8 +80,9 @@
   }
 
   /**
-   * Stops a run and settles it, however long that takes. One whose grounds no
-   * longer hold is not sent again; the lists then tell whether it was stopped.
+   * Stops a run and settles it, however long that takes. A stop that is no
+   * longer due is not sent again; the lists then tell whether it was carried
+   * out.
    */
   async stop(
     session: EndpointSession,
@@ -92,38 +93,42 @@
     if (run.phase === "stopping" || run.phase === "intended") return;
     this.#setPhase(run, "stopping");
     logRun(this.parts, "task-stopped", session, run, reason, grounds.basis);
-    const { orders, lease, clock } = this.parts;
+    const { clock } = this.parts;
     const decidedAt = clock.now();
-    for (
-      let attempts = 1;
-      session.runs.get(run.name) === run && !session.closed;
-      attempts++
-    ) {
-      if (!grounds.hold()) return this.#withdrawStop(session, run, reason);
-      const outcome = await orders.stop(session.endpoint, {
-        term: lease.term,
-        task: run.name,
-        run: run.run,
-      });
-      if (this.control.isStopped) return;
-      if (outcome.kind === "done") {
-        run.stoppedAt = clock.now();
-        if (attempts > 1) {
-          const afterMs = Math.round(run.stoppedAt - decidedAt);
-          const delayed = { attempts, afterMs };
-          logRun(this.parts, "stop-delayed", session, run, reason, delayed);
-        }
-        this.control.wake(session);
-        return;
-      }
-      if (outcome.kind === "rejected") {
-        if (outcome.reason === "fenced") return this.parts.fenced();
-        if (outcome.reason === "other-life") {
-          return this.control.close(session, outcome.reason);
-        }
-      }
+    let attempts = 0;
+    while (session.runs.get(run.name) === run && !session.closed) {
+      if (!grounds.isDue()) return this.#withdrawStop(session, run, reason);
+      attempts++;
+      if (await this.#tryStop(session, run)) break;
       await delay(clock, stopRetryMs);
     }
+    if (attempts > 1 && run.stoppedAt !== undefined) {
+      const afterMs = Math.round(run.stoppedAt - decidedAt);
+      const delayed = { attempts, afterMs };
+      logRun(this.parts, "stop-delayed", session, run, reason, delayed);
+    }
+  }
+
+  /** One attempt of a stop; false when it has to be made again. */
+  async #tryStop(session: EndpointSession, run: Run): Promise<boolean> {
+    const { orders, lease, clock } = this.parts;
+    const outcome = await orders.stop(session.endpoint, {
+      term: lease.term,
+      task: run.name,
+      run: run.run,
+    });
+    if (this.control.isStopped) return true;
+    if (outcome.kind === "done") {
+      run.stoppedAt = clock.now();
+      this.control.wake(session);
+      return true;
+    }
+    if (outcome.kind !== "rejected") return false;
+    if (outcome.reason === "fenced") this.parts.fenced();
+    else if (outcome.reason === "other-life") {
+      this.control.close(session, outcome.reason);
+    } else return false;
+    return true;
   }
 
   /** An attempt without an answer may have stopped the run all the same. */
