--- a/test/cluster/shard_lease_test.ts
+++ b/test/cluster/shard_lease_test.ts
@@ -8,10 +8,9 @@
   type Member,
   memberLeaseMs,
   MemberView,
-  readOwner,
-  ShardLease,
   shardToRelease,
 } from "../../src/cluster/index.ts";
+import { acquireLease } from "./acquire_lease.ts";
 
 const row = { table: "t", partition: "s", key: "k" };
 
@@ -32,16 +31,8 @@
   const store = new ModelStore(clock, random);
   const connect = (entry: string) =>
     store.connect(entry, new ProcessClock(clock));
-  const acquire = async (entry: string) => {
-    const client = connect(entry);
-    const read = await settle(clock, readOwner(client, "s"));
-    const holder = { entry, boot: `${entry}#1` };
-    const before = read.unwrap();
-    return await settle(
-      clock,
-      ShardLease.acquire(client, clock, "s", holder, before),
-    );
-  };
+  const acquire = (entry: string) =>
+    settle(clock, acquireLease(connect(entry), clock, "s", entry));
   return { clock, store, acquire };
 }
 
@@ -53,9 +44,9 @@
       const second = await acquire("b");
       assert.equal(second?.term, 2);
       const put = { ...row, value: "old" };
-      const late = await settle(clock, first!.commit([put], []));
+      const late = await settle(clock, first.commit([put], []));
       assert.equal(late.err && late.val.kind, "lost");
-      assert.equal(first?.isLost, true);
+      assert.equal(first.isLost, true);
     });
   });
 
@@ -67,18 +58,18 @@
       store.lostShare = 2;
       const lost = await settle(
         clock,
-        lease!.commit([{ ...row, value: "1" }], []),
+        lease.commit([{ ...row, value: "1" }], []),
       );
       assert.equal(lost.err && lost.val.kind, "unknown");
       store.lostShare = 0;
       const again = await settle(
         clock,
-        lease!.commit([{ ...row, value: "2" }], []),
+        lease.commit([{ ...row, value: "2" }], []),
       );
       assert.equal(again.err && again.val.kind, "refused");
       const third = await settle(
         clock,
-        lease!.commit([{ ...row, value: "2" }], []),
+        lease.commit([{ ...row, value: "2" }], []),
       );
       assert.ok(third.ok);
       assert.equal(store.table("t")[0].value, "2");
@@ -90,7 +81,7 @@
       const { clock, acquire } = setUp();
       const lease = await acquire("a");
       await clock.advance(3_000);
-      assert.ok(lease!.ageMs >= 3_000);
+      assert.ok(lease.ageMs >= 3_000);
     });
   });
 });
--- a/test/scheduler/commit_queue_test.ts
+++ b/test/scheduler/commit_queue_test.ts
@@ -3,9 +3,9 @@
 import { describe, it } from "node:test";
 import { ModelStore } from "../../sim/model_store.ts";
 import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
-import { readOwner, ShardLease } from "../../src/cluster/index.ts";
 import { CommitQueue } from "../../src/scheduler/index.ts";
 import { maxTransactionBytes } from "../../src/store/index.ts";
+import { acquireLease } from "../cluster/acquire_lease.ts";
 
 const shard = "s";
 
@@ -14,19 +14,10 @@
   const clock = new VirtualClock();
   const model = new ModelStore(clock, () => 1);
   const store = model.connect("a", new ProcessClock(clock));
-  const acquired = readOwner(store, shard).then((row) =>
-    ShardLease.acquire(
-      store,
-      clock,
-      shard,
-      { entry: "a", boot: "a#1" },
-      row.unwrap(),
-    )
-  );
+  const acquired = acquireLease(store, clock, shard, "a");
   await clock.advance(100);
   await clock.advance(100);
   const lease = await acquired;
-  assert.ok(lease);
   const failures: string[] = [];
   const dirty = new Set(Array.from({ length: count }, (_, i) => `job-${i}`));
   const value = "x".repeat(bytes);
--- a/test/sim/dropped_history_test.ts
+++ b/test/sim/dropped_history_test.ts
@@ -2,7 +2,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Play } from "../../sim/actions.ts";
-import { World } from "../../sim/world.ts";
+import type { World } from "../../sim/world.ts";
+import { endWorld, settledWorld } from "./settled_world.ts";
 
 /** Most of the time from a job's submission until its owner takes it, in ms. */
 const takenWithinMs = 150;
@@ -16,9 +17,8 @@
 
 describe("a store that drops its history", () => {
   it("delays new jobs by no more than a read of the inbox", async () => {
-    const world = new World({ seed: 1, entries: 3, hostsPerPool: 4 });
+    const world = await settledWorld();
     const play = new Play(world);
-    await world.pass(3_000);
     await play.act({ kind: "submit", job: "chain", pool: 0 });
     await world.pass(1_000);
     await play.act({ kind: "compact" });
@@ -29,6 +29,6 @@
     assert.ok(second !== undefined, "the second job was taken");
     assert.ok(second - submittedAt <= takenWithinMs, `${second - submittedAt}`);
     assert.deepEqual(world.oracle.violations, []);
-    for (const entry of world.entries.values()) entry.process.kill();
+    endWorld(world);
   });
 });
--- a/test/sim/held_up_stop_test.ts
+++ b/test/sim/held_up_stop_test.ts
@@ -1,11 +1,12 @@
 /** Stops of lasting tasks that reach their endpoint only after a while. */
 import assert from "node:assert/strict";
-import { beforeEach, describe, it } from "node:test";
+import { afterEach, beforeEach, describe, it } from "node:test";
 import { Play } from "../../sim/actions.ts";
-import { World } from "../../sim/world.ts";
+import type { World } from "../../sim/world.ts";
+import { busyHosts, endWorld, settledWorld } from "./settled_world.ts";
 
-/** Time in which the entries settle and the tasks get to work, in ms. */
-const settleMs = 5_000;
+/** Time in which the tasks get to work, in ms. */
+const startMs = 5_000;
 
 /** Time from the crash of one endpoint to the wave, in ms. */
 const wavesAfterMs = 100;
@@ -18,21 +19,16 @@
   /** Hosts with a task each, in the order in which the wave takes them. */
   let busy: readonly number[];
 
-  /** The pool's hosts that run a task. */
-  function busyHosts(): readonly number[] {
-    return [...world.hosts.keys()]
-      .filter((i) => (world.hosts[i].endpoint?.runs.size ?? 0) > 0);
-  }
-
   beforeEach(async () => {
-    world = new World({ seed: 1, entries: 3, hostsPerPool: 4 });
-    await world.pass(3_000);
+    world = await settledWorld();
     await new Play(world).act({ kind: "submit", job: "lasting", pool: 0 });
-    await world.pass(settleMs);
-    busy = busyHosts();
+    await world.pass(startMs);
+    busy = busyHosts(world);
     assert.equal(busy.length, 3);
   });
 
+  afterEach(() => endWorld(world));
+
   /** Another endpoint crashes, then the wave's is cut off for a while. */
   async function crashThenCut(): Promise<void> {
     const [leaving, crashing] = busy;
--- a/test/sim/many_entries_test.ts
+++ b/test/sim/many_entries_test.ts
@@ -2,8 +2,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import type { Action } from "../../sim/actions.ts";
-import { World } from "../../sim/world.ts";
+import type { World } from "../../sim/world.ts";
 import { runModel } from "./run_model.ts";
+import { endWorld, settledWorld } from "./settled_world.ts";
 
 const entries = 20;
 
@@ -31,8 +32,7 @@
 
   it("loses all candidates at once and goes on with the others", async () => {
     const all = Array.from({ length: entries }, (_, i) => i);
-    const world = new World({ seed: 1, entries, hostsPerPool: 4 });
-    await world.pass(3_000);
+    const world = await settledWorld({ entries });
     const idle = new Set(
       told(world, "member-idle").map((line) => line.split(" ")[1]),
     );
@@ -44,6 +44,6 @@
       .filter((line) => idle.has(line.split(" ")[1]));
     assert.ok(taken.length > 0);
     assert.deepEqual(world.oracle.violations, []);
-    for (const entry of world.entries.values()) entry.process.kill();
+    endWorld(world);
   });
 });
--- a/test/sim/run_model.ts
+++ b/test/sim/run_model.ts
@@ -1,9 +1,7 @@
 /** Runs a sequence of actions in the model and returns what broke. */
 import { type Action, Play } from "../../sim/actions.ts";
-import { World } from "../../sim/world.ts";
-
-/** Time in which the entries find one another, in ms. */
-const settleMs = 3_000;
+import type { World } from "../../sim/world.ts";
+import { endWorld, settledWorld } from "./settled_world.ts";
 
 /**
  * Time for all work to end once the disturbances are over, in ms: the longest
@@ -23,13 +21,12 @@
   actions: readonly Action[],
   entries = 3,
 ): Promise<ModelRun> {
-  const world = new World({ seed, entries, hostsPerPool: 4 });
+  const world = await settledWorld({ seed, entries });
   const play = new Play(world);
-  await world.pass(settleMs);
   for (const action of actions) await play.act(action);
   world.heal();
   await world.pass(finishMs);
   const violations = await world.finish();
-  for (const entry of world.entries.values()) entry.process.kill();
+  endWorld(world);
   return { violations, world };
 }
--- a/test/sim/stalled_runs_test.ts
+++ b/test/sim/stalled_runs_test.ts
@@ -2,11 +2,15 @@
 import assert from "node:assert/strict";
 import { afterEach, beforeEach, describe, it } from "node:test";
 import { Play } from "../../sim/actions.ts";
-import { World } from "../../sim/world.ts";
+import type { World } from "../../sim/world.ts";
+import { busyHosts, endWorld, settledWorld } from "./settled_world.ts";
 
 /** Time without progress after which a run counts as stalled, and more. */
 const longMs = 3_500;
 
+/** Factor of the tasks' run times, so that they outlast that. */
+const longWork = 12;
+
 describe("runs that nothing is heard of for a while", () => {
   let world: World;
   let play: Play;
@@ -17,14 +21,11 @@
   }
 
   beforeEach(async () => {
-    world = new World({ seed: 1, entries: 3, hostsPerPool: 4, workFactor: 12 });
+    world = await settledWorld({ workFactor: longWork });
     play = new Play(world);
-    await world.pass(3_000);
   });
 
-  afterEach(() => {
-    for (const entry of world.entries.values()) entry.process.kill();
-  });
+  afterEach(() => endWorld(world));
 
   // Guards against SHORT: after the store was away, tasks were stopped as soon
   // as they began, and their endpoints left alone, as the wait counted as work.
@@ -43,7 +44,7 @@
   it("go on when their endpoint was cut off for a while", async () => {
     await play.act({ kind: "submit", job: "wide", pool: 0 });
     await world.pass(500);
-    const busy = world.hosts.findIndex((h) => (h.endpoint?.runs.size ?? 0) > 0);
+    const [busy] = busyHosts(world);
     world.cutHost(busy, longMs);
     await world.pass(longMs + 3_000);
     assert.deepEqual(stalled(), []);
@@ -54,15 +55,14 @@
   // Guards against a finding that is none: the lease has lapsed between the
   // end and the note of it, so the end does not count.
   it("may be done again once the lease is over", async () => {
-    const world = new World({ seed: 1, entries: 3, hostsPerPool: 4 });
-    await world.pass(3_000);
+    const world = await settledWorld();
     await new Play(world).act({ kind: "submit", job: "wide", pool: 0 });
     await world.pass(60);
-    const busy = world.hosts.findIndex((h) => (h.endpoint?.runs.size ?? 0) > 0);
+    const [busy] = busyHosts(world);
     world.cutHost(busy, 6_500);
     await world.pass(12_000);
     assert.deepEqual(await world.finish(), []);
     assert.ok(world.log.some((line) => line.includes("lost: lease over")));
-    for (const entry of world.entries.values()) entry.process.kill();
+    endWorld(world);
   });
 });
--- a/test/sim/wave_pace_test.ts
+++ b/test/sim/wave_pace_test.ts
@@ -2,7 +2,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { Play } from "../../sim/actions.ts";
-import { World } from "../../sim/world.ts";
+import type { World } from "../../sim/world.ts";
+import { busyHosts, endWorld, settledWorld } from "./settled_world.ts";
 
 /**
  * Longest time from the placing of a moved task to the stop of the next, in
@@ -20,13 +21,10 @@
   // Guards against waves that end late: each move waited for a whole hold to
   // tell that the task before it was at work again.
   it("moves the next task as soon as the one before is at work", async () => {
-    const world = new World({ seed: 1, entries: 3, hostsPerPool: 4 });
-    await world.pass(3_000);
+    const world = await settledWorld();
     await new Play(world).act({ kind: "submit", job: "lasting", pool: 0 });
     await world.pass(5_000);
-    const hosts = world.hosts
-      .filter(({ endpoint }) => (endpoint?.runs.size ?? 0) > 0)
-      .map(({ host }) => host);
+    const hosts = busyHosts(world).map((i) => world.hosts[i].host);
     world.waves.push({ id: "1", hosts, durationMs: 5_000, maxParallel: 3 });
     await world.pass(15_000);
     const stops = timesOf(world, ["task-stopped", "endpoint leaves"]);
@@ -36,6 +34,6 @@
       assert.ok(stop - placed[i] <= nextStopMs, `${stop - placed[i]} ms`);
     }
     assert.deepEqual(world.oracle.violations, []);
-    for (const entry of world.entries.values()) entry.process.kill();
+    endWorld(world);
   });
 });
--- a/test/upkeep/fleet_owner_test.ts
+++ b/test/upkeep/fleet_owner_test.ts
@@ -5,7 +5,6 @@
 import { ModelStore } from "../../sim/model_store.ts";
 import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
 import { CatalogHolder } from "../../src/catalog/index.ts";
-import { readOwner, ShardLease } from "../../src/cluster/index.ts";
 import { EndpointRegistry } from "../../src/endpoint/index.ts";
 import {
   demandKey,
@@ -14,6 +13,7 @@
   type HostControl,
   type ListedHost,
 } from "../../src/upkeep/index.ts";
+import { acquireLease } from "../cluster/acquire_lease.ts";
 
 const spares = 60;
 
@@ -34,18 +34,9 @@
       await clock.flush();
     }
   };
-  const acquired = readOwner(store, fleetShard).then((row) =>
-    ShardLease.acquire(
-      store,
-      clock,
-      fleetShard,
-      { entry: "a", boot: "a#1" },
-      row.unwrap(),
-    )
-  );
+  const acquired = acquireLease(store, clock, fleetShard, "a");
   await pass(100);
   const lease = await acquired;
-  assert.ok(lease);
   const hosts = new Map(
     Array.from({ length: spares }, (_, i): [string, ListedHost] => [
       `h${i}`,
