Let stops of an earlier owner end before a budget is spent after a take-over

Callers of a lasting service could see one task more away than its budget allows (AVAIL). Cause: a stop takes up to 0.9 s, in which the endpoint still lists the task as at work. An owner that handed its shard over right after a stop (SIGTERM, balance) left the next one to count that task as at work; when it knew the endpoints in another order it stopped another task of the step.

The count now believes an endpoint only by lists asked for 1 s after it took the present term; from then on it refuses orders of earlier terms, so each stop of an earlier owner is over. The first hold of a term is answered at once and not after a second, so an owner knows its endpoints, and extends their leases, sooner after a take-over.

Ruled out: a mark in the store before each stop, which would cost a commit a stop; a pause of all stops after a take-over, as it does not cover endpoints that are met late.

The model's endpoints take 900 ms for a stop, as the slowest of the users' do; they took 100.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -35,7 +35,7 @@
     draining: false,
     host: "",
   }, 0);
-  created.fenced = true;
+  created.fencedAt = -Infinity;
   created.readClock(0, 0);
   if (isFull) fill(created, index);
   return created;
--- a/sim/model_endpoints.ts
+++ b/sim/model_endpoints.ts
@@ -19,7 +19,7 @@
 
 const wayMs = 1;
 const maxLeaseMs = 10_000;
-const stopMs = 100;
+const stopMs = 900;
 const startupMs = 400;
 
 /** Time limit of an order, in ms. */
--- a/src/scheduler/availability.ts
+++ b/src/scheduler/availability.ts
@@ -56,7 +56,7 @@
   const session = find(placement.endpoint);
   const run = session?.find(taskName(job.spec.id, ref), placement.run);
   if (session === undefined || run === undefined) return false;
-  if (!isHeard(session, now)) return false;
+  if (!isHeard(session, now) || !session.isClearOfEarlierStops) return false;
   return run.phase === "running" && run.percent === atWork;
 }
 
--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -85,8 +85,9 @@
     return this.#holdFailed(session, outcome);
   }
 
+  /** The first hold of a term is answered at once, to keep what runs there. */
   #holdWait(session: EndpointSession): number {
-    if (session.runs.size === 0) return 0;
+    if (!session.fenced || session.runs.size === 0) return 0;
     const starts = isStartingUp(session, this.parts.clock.now());
     return starts ? startupHoldMs : holdWaitMs;
   }
@@ -115,7 +116,7 @@
 
   /** Nothing can run there any more; what comes back is met anew. */
   #leaseOver(session: EndpointSession): void {
-    session.fenced = false;
+    session.fencedAt = undefined;
     for (const run of [...session.runs.values()]) {
       if (run.phase === "intended") continue;
       this.control.finish(session, run, "lost", "lease over");
@@ -137,7 +138,7 @@
     this.#settle(session, lists, sentAt, now);
     this.runs.paceFillers(session);
     if (!session.fenced) {
-      session.fenced = true;
+      session.fencedAt = now;
       this.parts.changed();
     }
     const lastSeq = lists.ended.at(-1)?.seq;
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -22,6 +22,9 @@
 /** Most by which an endpoint's clock runs slow, as a share. */
 export const clockDrift = 0.02;
 
+/** Longest time that an endpoint takes to stop a run, in ms. */
+const longestStopMs = 1_000;
+
 /** Allowance for the delivery of an answer when a lease's end is bounded. */
 export const deliveryMs = 100;
 
@@ -102,8 +105,8 @@
 /** One life of one endpoint. */
 export class EndpointSession {
   readonly runs = new Map<string, Run>();
-  /** Whether the endpoint has accepted an order of this term. */
-  fenced = false;
+  /** Steady time since which it takes orders of this term; see `fenced`. */
+  fencedAt: number | undefined;
   /** Highest number of an end that is recorded in the store. */
   recordedEnd = 0;
   /** Highest number of an end that has been taken from the lists. */
@@ -129,6 +132,20 @@
     this.#leaseEndsBy = leaseEndsBy;
   }
 
+  /** Whether it takes orders of this term, and none of an earlier one. */
+  get fenced(): boolean {
+    return this.fencedAt !== undefined;
+  }
+
+  /**
+   * Whether it has told of its tasks after every stop of an earlier owner was
+   * over; until then it may list tasks that are being stopped as at work.
+   */
+  get isClearOfEarlierStops(): boolean {
+    const { fencedAt } = this;
+    return fencedAt !== undefined && this.#heardOf - fencedAt >= longestStopMs;
+  }
+
   get used(): Resources {
     return this.#used;
   }
--- a/test/scheduler/endpoint_session_test.ts
+++ b/test/scheduler/endpoint_session_test.ts
@@ -89,3 +89,16 @@
     assert.equal(session.leaseEndsBy, 1_000 + 5_610 + 100);
   });
 });
+
+describe("an endpoint that had another owner", () => {
+  // Guards against AVAIL: a task that is being stopped is still listed.
+  it("is clear of earlier stops once these are over", () => {
+    const session = newSession();
+    assert.equal(session.isClearOfEarlierStops, false);
+    session.fencedAt = 100;
+    session.noteAnswer(1_050, 1_060);
+    assert.equal(session.isClearOfEarlierStops, false);
+    session.noteAnswer(1_100, 1_110);
+    assert.equal(session.isClearOfEarlierStops, true);
+  });
+});
--- a/test/scheduler/sessions.ts
+++ b/test/scheduler/sessions.ts
@@ -28,7 +28,7 @@
   changes: Partial<TaskEndpoint> = {},
 ): EndpointSession {
   const session = new EndpointSession(endpoint(id, changes), 0);
-  session.fenced = true;
+  session.fencedAt = -Infinity;
   session.readClock(0, 0);
   return session;
 }
