Take a commit as not applied for statuses 429 and 503 only

The platform confirms only with 429 and 503 that nothing was done. After a 500, 502, 504 or 507 a job could have been stored whose caller was told "not run".

Now any other status of a commit is unknown: the submission is repeated until the caller's deadline and then answered 504. An object call fails for every status outside 2xx.

Ruled out: reading the body of the error, as none is specified for these statuses.

--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -32,6 +32,9 @@
 /** Pause before a commit is repeated, in ms. */
 const retryPauseMs = 50;
 
+/** Statuses with which the platform confirms that a call had no effect. */
+const refusedStatuses: ReadonlySet<number> = new Set([429, 503]);
+
 /** Connections to the platform. */
 const maxConnections = 8;
 
@@ -66,12 +69,19 @@
   readonly resolve: (outcome: Result<PlatformCommitOutcome, Failure>) => void;
 }
 
-/** A response with a status below 500. */
+/** A response with a status other than 429, below 500. */
 interface HttpResponse {
   readonly status: number;
   readonly bytes: Uint8Array;
 }
 
+/** Fails with `commitRefused` for a status outside the 2xx range. */
+function expectSuccess(status: number, path: string): Result<void, Failure> {
+  return status >= 200 && status < 300
+    ? Ok(undefined)
+    : fail(codes.commitRefused, `platform answered ${status} to ${path}`);
+}
+
 /** Implements `Platform` over HTTP and JSON. */
 export class HttpPlatform implements Platform {
   readonly table: TableService;
@@ -194,7 +204,7 @@
   async #put(name: string, bytes: Uint8Array): Promise<Result<void, Failure>> {
     const path = `/v1/objects/${encodeURIComponent(name)}`;
     const result = await this.#call("PUT", path, bytes);
-    return result.map(() => undefined);
+    return result.andThen(({ status }) => expectSuccess(status, path));
   }
 
   async #get(name: string): Promise<Result<Uint8Array, Failure>> {
@@ -203,7 +213,9 @@
     if (result.ok && result.val.status === 404) {
       return fail(codes.notFound, `object ${name} does not exist`);
     }
-    return result.map((res) => res.bytes);
+    return result.andThen(({ status, bytes }) =>
+      expectSuccess(status, path).map(() => bytes)
+    );
   }
 
   /**
@@ -234,8 +246,9 @@
   }
 
   /**
-   * Makes one call. Fails with `platformDown` for a status of 500 or above, or
-   * as `#handleCallError` says.
+   * Makes one call. Fails with `platformDown` for {@link refusedStatuses}, with
+   * `commitUnknown` for any other status of 500 or above, or as
+   * `#handleCallError` says.
    */
   async #call(
     method: "GET" | "POST" | "PUT",
@@ -256,8 +269,13 @@
         },
       });
       const bytes = new Uint8Array(await res.body.arrayBuffer());
-      if (res.statusCode < 500) return Ok({ status: res.statusCode, bytes });
-      return fail(codes.platformDown, `platform answered ${res.statusCode}`);
+      const status = res.statusCode;
+      const message = `platform answered ${status}`;
+      if (refusedStatuses.has(status)) {
+        return fail(codes.platformDown, message);
+      }
+      if (status >= 500) return fail(codes.commitUnknown, message);
+      return Ok({ status, bytes });
     } catch (err) {
       return this.#handleCallError(pool, err);
     }
