Defer jobs by latest starts, as running tasks are not preempted

Cause: in a surge beyond a pool's capacity nearly every job was late, though one job in three to one in two could be on time. The selection added up only the work of jobs that could be on time and compared it with the whole capacity until their ends. It took cores as available that run late tasks, so it kept more than could start, and each job started just after its latest start.

Now the waiting tasks of each step are added up by their latest start, and compared with what can start until then: on free cores at once, on busy ones as tasks end, at 0.9 of the capacity, and 200 ms before the latest start.

--- a/src/scheduler/deferred_jobs.ts
+++ b/src/scheduler/deferred_jobs.ts
@@ -1,10 +1,14 @@
 /** Selects a shard's jobs that are deferred in an overload, at intervals. */
 import type { Clock } from "../clock/index.ts";
 import type { DecisionLog } from "./decision_log.ts";
-import { cpuForJobs, type EndpointSession } from "./endpoint_session.ts";
-import { selectDeferredJobs } from "./overload.ts";
+import {
+  cpuForJobs,
+  type EndpointSession,
+  freeCpu,
+} from "./endpoint_session.ts";
+import { selectDeferredJobs, type StartCapacity } from "./overload.ts";
 import type { TrackedJob } from "./job_registry.ts";
-import { collectDueWork, occurrenceKey } from "./job_rank.ts";
+import { collectPendingStarts, occurrenceKey } from "./job_rank.ts";
 import type { RunTimes } from "./run_times.ts";
 
 /** Minimum interval between two selections, in ms. */
@@ -24,6 +28,20 @@
   readonly runTimes: RunTimes;
 }
 
+/** Returns the capacity of the open endpoints for tasks of the given length. */
+function capacityOf(
+  sessions: readonly EndpointSession[],
+  runMs: number,
+): StartCapacity {
+  let cpuMillis = 0;
+  let freeCpuMillis = 0;
+  for (const session of sessions) {
+    cpuMillis += cpuForJobs(session);
+    freeCpuMillis += freeCpu(session);
+  }
+  return { cpuMillis, freeCpuMillis, runMs };
+}
+
 /** Selects the deferred occurrences of one shard's jobs, and logs them. */
 export class DeferredJobs {
   #deferredKeys: ReadonlySet<string> = new Set();
@@ -49,13 +67,11 @@
     );
     if (now - this.#selectedAt < intervalMs) return this.#deferredKeys;
     this.#selectedAt = now;
-    const dueWork = collectDueWork(jobs, clock.wall(), runTimes);
-    const cpuMillis = sessions.reduce(
-      (sum, each) => sum + cpuForJobs(each),
-      0,
-    );
-    const keys = selectDeferredJobs(dueWork, cpuMillis, clock.wall());
-    this.#logNew(keys, dueWork.length, cpuMillis);
+    const wall = clock.wall();
+    const pending = collectPendingStarts(jobs, wall, runTimes);
+    const capacity = capacityOf(sessions, pending.runMs);
+    const keys = selectDeferredJobs(pending.jobs, capacity, wall);
+    this.#logNew(keys, pending.jobs.length, capacity);
     if (this.#logged.size > maxLoggedKeys) this.#forgetEnded(jobs);
     this.#deferredKeys = keys;
     return keys;
@@ -67,14 +83,20 @@
    */
   #logNew(
     keys: ReadonlySet<string>,
-    dueCount: number,
-    cpuMillis: number,
+    pendingCount: number,
+    capacity: StartCapacity,
   ): void {
     const { shard, log } = this.deps;
     for (const job of keys) {
       if (this.#logged.has(job)) continue;
       this.#logged.add(job);
-      log.decision("job-put-off", { job, shard, due: dueCount, cpuMillis });
+      log.decision("job-put-off", {
+        job,
+        shard,
+        due: pendingCount,
+        cpuMillis: capacity.cpuMillis,
+        freeCpuMillis: capacity.freeCpuMillis,
+      });
     }
   }
 
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -130,6 +130,15 @@
   return Math.max(0, cpuMillis);
 }
 
+/**
+ * CPU capacity of an endpoint that no run uses, in thousandths of a core; 0
+ * while no tasks may be placed there.
+ */
+export function freeCpu({ isOpen, endpoint, used }: EndpointSession): number {
+  if (!isOpen) return 0;
+  return Math.max(0, endpoint.capacity.cpuMillis - used.cpuMillis);
+}
+
 /**
  * State of one incarnation of an endpoint; it ends when the endpoint restarts.
  */
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -5,7 +5,11 @@
 export { CommitQueue } from "./commit_queue.ts";
 export type { DecisionFields, DecisionLog } from "./decision_log.ts";
 export { EndpointSession, type Run, taskLeaseMs } from "./endpoint_session.ts";
-export { type DueWork, selectDeferredJobs } from "./overload.ts";
+export {
+  type PendingJob,
+  selectDeferredJobs,
+  type StartCapacity,
+} from "./overload.ts";
 export { JobRegistry, type TrackedJob } from "./job_registry.ts";
 export { ArrivalRate } from "./arrival_rate.ts";
 export { RunSupervisor, type SupervisorDriver } from "./run_supervisor.ts";
--- a/src/scheduler/job_rank.ts
+++ b/src/scheduler/job_rank.ts
@@ -1,11 +1,12 @@
-/** Computes ranks and due work of the jobs that a shard's owner has read. */
+/** Computes ranks and pending starts of the jobs that a shard's owner has read. */
 import {
   isLongRunning,
   isStepDone,
+  isWaiting,
   type JobSpec,
   type OccurrenceTasks,
 } from "../batch/index.ts";
-import type { DueWork } from "./overload.ts";
+import type { PendingJob } from "./overload.ts";
 import type { TrackedJob } from "./job_registry.ts";
 import {
   type OccurrenceTimes,
@@ -13,27 +14,40 @@
   onTimeTier,
   type Rank,
   rankAt,
+  remainingChainsMs,
 } from "./task_order.ts";
 import type { RunTimes } from "./run_times.ts";
 
 /** Time after which a cached estimate is computed again, in ms. */
 const estimateLifetimeMs = 250;
 
-/** Average share of its work that a running task still has to do. */
-const remainingRunShare = 0.5;
+/**
+ * Time before the latest start at which a task has to be placed, in ms. It
+ * covers the commit of the placement, the order, and run times that are longer
+ * than expected.
+ */
+const startMarginMs = 200;
 
 /** Returns the key of a job's occurrence, unique among all jobs. */
 export function occurrenceKey(job: string, occurrence: number): string {
   return `${job}.${occurrence}`;
 }
 
-/** Work of an occurrence's tasks, in thousandths of a core times ms. */
+/** The waiting tasks of one step. */
+interface WaitingWork {
+  /** Expected time from their start to the end of the occurrence, in ms. */
+  readonly chainMs: number;
+  /** CPU that they need at the same time, in thousandths of a core. */
+  readonly cpuMillis: number;
+  /** Their work, in thousandths of a core times ms. */
+  readonly work: number;
+}
+
+/** Work of an occurrence's tasks. */
 interface TaskWork {
-  /** Remaining work of running tasks. */
-  readonly running: number;
-  /** Work of tasks that have not started. */
-  readonly waiting: number;
-  /** Work of all tasks, done ones included. */
+  /** Waiting tasks by step, without steps that have none. */
+  readonly waiting: readonly WaitingWork[];
+  /** Work of all tasks, done ones included, in thousandths of a core times ms. */
   readonly total: number;
 }
 
@@ -57,21 +71,19 @@
   tasks: OccurrenceTasks,
   runTimes: RunTimes,
 ): TaskWork {
-  let running = 0;
-  let waiting = 0;
+  const expectedMs = spec.steps.map((s) => runTimes.expectedMs(spec.queue, s));
+  const chainsMs = remainingChainsMs(spec.steps, (_, i) => expectedMs[i]);
+  const waiting: WaitingWork[] = [];
   let total = 0;
   tasks.forEach((list, i) => {
-    const step = spec.steps[i];
-    const taskWork = step.demand.cpuMillis *
-      runTimes.expectedMs(spec.queue, step);
-    total += list.length * taskWork;
-    for (const { done, placement } of list) {
-      if (done) continue;
-      if (placement !== undefined) running += remainingRunShare * taskWork;
-      else waiting += taskWork;
-    }
+    const taskCpuMillis = spec.steps[i].demand.cpuMillis;
+    total += list.length * taskCpuMillis * expectedMs[i];
+    const cpuMillis = list.filter(isWaiting).length * taskCpuMillis;
+    if (cpuMillis === 0) return;
+    const work = cpuMillis * expectedMs[i];
+    waiting.push({ chainMs: chainsMs[i], cpuMillis, work });
   });
-  return { running, waiting, total };
+  return { waiting, total };
 }
 
 /** Returns the estimate of an occurrence, from the cache if it is recent. */
@@ -112,64 +124,80 @@
   return rankAt(spec, estimate, wall);
 }
 
-/** Due work with its queue; `size` is not relative to the queue's mean yet. */
-interface QueuedWork extends DueWork {
+/** A job with pending starts, before sizes are relative to its queue's mean. */
+interface QueuedJob extends PendingJob {
   readonly queue: string;
 }
 
-/** Returns an occurrence's due work; undefined if it can't be on time. */
-function dueWorkOfOccurrence(
-  job: TrackedJob,
-  occurrence: number,
-  wall: number,
-  runTimes: RunTimes,
-): QueuedWork | undefined {
-  const { spec, progress, randomFraction } = job;
-  const tasks = progress.open.get(occurrence);
-  if (tasks === undefined) return undefined;
-  const estimate = estimateOf(spec, occurrence, tasks, wall, runTimes);
-  const { tier, finishBy } = rankAt(spec, estimate, wall);
-  if (tier !== onTimeTier) return undefined;
-  const { running, waiting, total: size } = estimate;
-  const key = occurrenceKey(spec.id, occurrence);
-  const { queue, priority } = spec;
-  return {
-    key,
-    queue,
-    priority,
-    finishBy,
-    running,
-    waiting,
-    size,
-    randomFraction,
-  };
+/** The jobs that have to start tasks, and the run time of these tasks. */
+export interface PendingStarts {
+  readonly jobs: readonly PendingJob[];
+  /** Mean run time of their waiting tasks, weighted by CPU, in ms. */
+  readonly runMs: number;
 }
 
-/**
- * Returns the due work of all occurrences that can still be on time, with sizes
- * relative to the mean of their queue. Long-running jobs have no due work.
- */
-export function collectDueWork(
-  jobs: Iterable<TrackedJob>,
-  wall: number,
-  runTimes: RunTimes,
-): readonly DueWork[] {
-  const works: QueuedWork[] = [];
-  for (const job of jobs) {
-    if (isLongRunning(job.spec)) continue;
-    for (const occurrence of job.progress.open.keys()) {
-      const work = dueWorkOfOccurrence(job, occurrence, wall, runTimes);
-      if (work !== undefined) works.push(work);
+/** Adds up the waiting tasks of several occurrences. */
+class WaitingTotals {
+  #work = 0;
+  #cpuMillis = 0;
+
+  /** Adds the waiting tasks of one occurrence. */
+  add(waiting: readonly WaitingWork[]): void {
+    for (const { work, cpuMillis } of waiting) {
+      this.#work += work;
+      this.#cpuMillis += cpuMillis;
     }
   }
+
+  /** Mean run time, weighted by CPU, in ms. */
+  get runMs(): number {
+    return this.#work / Math.max(1, this.#cpuMillis);
+  }
+}
+
+/**
+ * Returns jobs whose sizes are relative to the mean size of their queue's jobs.
+ */
+function withRelativeSizes(jobs: readonly QueuedJob[]): readonly PendingJob[] {
   const sums = new Map<string, { total: number; count: number }>();
-  for (const { queue, size } of works) {
+  for (const { queue, size } of jobs) {
     const sum = sums.get(queue) ?? { total: 0, count: 0 };
     sums.set(queue, { total: sum.total + size, count: sum.count + 1 });
   }
-  return works.map((work) => {
-    const { total, count } = sums.get(work.queue) ?? { total: 0, count: 0 };
+  return jobs.map((job) => {
+    const { total, count } = sums.get(job.queue) ?? { total: 0, count: 0 };
     const mean = Math.max(1, total / Math.max(1, count));
-    return { ...work, size: work.size / mean };
+    return { ...job, size: job.size / mean };
   });
 }
+
+/**
+ * Returns the occurrences that can still be on time and have waiting tasks.
+ * Long-running jobs are left out.
+ */
+export function collectPendingStarts(
+  jobs: Iterable<TrackedJob>,
+  wall: number,
+  runTimes: RunTimes,
+): PendingStarts {
+  const pending: QueuedJob[] = [];
+  const totals = new WaitingTotals();
+  for (const { spec, progress, randomFraction } of jobs) {
+    if (isLongRunning(spec)) continue;
+    const { id, queue, priority } = spec;
+    for (const [occurrence, tasks] of progress.open) {
+      const estimate = estimateOf(spec, occurrence, tasks, wall, runTimes);
+      const { tier, finishBy } = rankAt(spec, estimate, wall);
+      const { waiting, total: size } = estimate;
+      if (tier !== onTimeTier || waiting.length === 0) continue;
+      totals.add(waiting);
+      const key = occurrenceKey(id, occurrence);
+      const starts = waiting.map(({ chainMs, work }) => ({
+        startBy: finishBy - chainMs - startMarginMs,
+        work,
+      }));
+      pending.push({ key, queue, priority, starts, size, randomFraction });
+    }
+  }
+  return { jobs: withRelativeSizes(pending), runMs: totals.runMs };
+}
--- a/src/scheduler/task_order.ts
+++ b/src/scheduler/task_order.ts
@@ -39,6 +39,25 @@
   return Math.max(0, ...endTimes);
 }
 
+/**
+ * Returns for each step the time from its start to the end of the longest chain
+ * of dependent steps that it begins, in ms.
+ */
+export function remainingChainsMs(
+  steps: readonly StepSpec[],
+  durationOf: StepDuration,
+): readonly number[] {
+  const chains = steps.map(durationOf);
+  for (let i = steps.length - 1; i >= 0; i--) {
+    for (const dependency of steps[i].after) {
+      if (dependency >= i) continue;
+      const chain = durationOf(steps[dependency], dependency) + chains[i];
+      chains[dependency] = Math.max(chains[dependency], chain);
+    }
+  }
+  return chains;
+}
+
 /** Tier of a job with long-running tasks. */
 const longRunningTier = 0;
 
--- /dev/null
+++ b/test/scheduler/pool_simulation.ts
@@ -0,0 +1,282 @@
+/**
+ * Simulates the placement of one pool's jobs: arrivals, placement passes with
+ * the product's selection and planning, and run times that the scheduler does
+ * not know. It has no store, no network and no faults.
+ */
+import { mulberry32 } from "../../sim/random.ts";
+import { plainStep } from "../../sim/jobs.ts";
+import {
+  isFinal,
+  placeTask,
+  recordRunEnd,
+  type StepSpec,
+  taskAt,
+  taskName,
+  type TaskRef,
+} from "../../src/batch/index.ts";
+import type { Clock } from "../../src/clock/index.ts";
+import {
+  EndpointSession,
+  JobRegistry,
+  planStarts,
+  type Run,
+  RunTimes,
+  type TrackedJob,
+} from "../../src/scheduler/index.ts";
+import { DeferredJobs } from "../../src/scheduler/deferred_jobs.ts";
+import { endpoint, newRun } from "./sessions.ts";
+
+/** Time between two placement passes, in ms. */
+const passMs = 20;
+
+/** Time from the placement of a task to its start, in ms. */
+const startDelayMs = 50;
+
+/** Cores of an endpoint. */
+const endpointCores = 64;
+
+/** Objective of a job beyond `stretch` times its longest chain, in ms. */
+const sloMs = 600;
+const stretch = 1.6;
+
+/** Multiple of its objective within which a job still counts as served. */
+const lateFactor = 3;
+
+/** The load of a simulated pool. */
+export interface PoolLoad {
+  readonly seed: number;
+  readonly endpoints: number;
+  /** Mean run time of a task, in ms. */
+  readonly taskMs: number;
+  /** Work that arrives during the surge relative to the pool's capacity. */
+  readonly overload: number;
+  /** Length of the surge, in ms. */
+  readonly surgeMs: number;
+}
+
+/** The outcome of the jobs that arrived in a simulated surge. */
+export interface PoolOutcome {
+  readonly jobs: number;
+  /** Jobs that ended within their objective. */
+  readonly onTime: number;
+  /** Jobs that ended within three times their objective. */
+  readonly served: number;
+  /** Share of the benefit of all jobs that those on time earn. */
+  readonly benefitShare: number;
+}
+
+/** A task that runs until a time. */
+interface RunningTask {
+  readonly job: TrackedJob;
+  readonly ref: TaskRef;
+  readonly session: EndpointSession;
+  readonly run: Run;
+  readonly startedAt: number;
+  readonly endsAt: number;
+}
+
+/** A job of the simulation, with its real run times. */
+interface SimulatedJob {
+  readonly tracked: TrackedJob;
+  /** Run times of the tasks by step, in ms. */
+  readonly runMs: readonly (readonly number[])[];
+  readonly arrivedAt: number;
+  /** Time after its arrival within which it is on time, in ms. */
+  readonly objective: number;
+  /** Work of all its tasks, in core-ms. */
+  readonly work: number;
+}
+
+/** Draws from a normal distribution around 1, at least 0.2. */
+function spreadFactor(random: () => number, deviation: number): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random()));
+  const normal = radius * Math.cos(2 * Math.PI * random());
+  return Math.max(0.2, 1 + deviation * normal);
+}
+
+/** Adds up the benefit of jobs, which grows with their work. */
+function benefitOf(jobs: readonly SimulatedJob[], meanWork: number): number {
+  return jobs.reduce((sum, { work }) => sum + 0.3 + 0.7 * work / meanWork, 0);
+}
+
+/** Simulates a pool of equal endpoints. */
+class PoolSimulation {
+  #now = 0;
+  readonly #random: () => number;
+  readonly #registry = new JobRegistry();
+  readonly #runTimes = new RunTimes();
+  readonly #sessions: readonly EndpointSession[];
+  readonly #jobs = new Map<string, SimulatedJob>();
+  readonly #finishedAt = new Map<string, number>();
+  readonly #deferred: DeferredJobs;
+  #running: RunningTask[] = [];
+
+  constructor(private readonly load: PoolLoad) {
+    this.#random = mulberry32(load.seed);
+    this.#sessions = Array.from({ length: load.endpoints }, (_, i) => {
+      const cpuMillis = endpointCores * 1_000;
+      const capacity = { cpuMillis, memoryMb: 262_144, gpus: 0 };
+      const session = new EndpointSession(endpoint(`e${i}`, { capacity }), 0);
+      session.fencedAt = -Infinity;
+      session.recordClock(0, 0);
+      return session;
+    });
+    const clock: Clock = {
+      now: () => this.#now,
+      wall: () => this.#now,
+      after: () => () => {},
+    };
+    this.#deferred = new DeferredJobs({
+      shard: "pool",
+      clock,
+      log: { decision() {} },
+      runTimes: this.#runTimes,
+    });
+    this.#learnRunTimes();
+  }
+
+  /** Plays the surge and the time until its last job can be on time. */
+  run(): PoolOutcome {
+    const { surgeMs, overload, endpoints } = this.load;
+    const capacity = endpoints * endpointCores;
+    let work = 0;
+    let arrivals = 0;
+    while (this.#now < surgeMs * 3) {
+      while (
+        this.#now < surgeMs && work < overload * capacity * this.#now
+      ) {
+        work += this.#addJob(arrivals++);
+      }
+      this.#endTasks();
+      this.#placeTasks();
+      this.#now += passMs;
+    }
+    const jobs = [...this.#jobs.values()];
+    const onTime = jobs.filter((job) => this.#endsWithin(job, 1));
+    const served = jobs.filter((job) => this.#endsWithin(job, lateFactor));
+    const meanWork = work / jobs.length;
+    return {
+      jobs: jobs.length,
+      onTime: onTime.length,
+      served: served.length,
+      benefitShare: benefitOf(onTime, meanWork) / benefitOf(jobs, meanWork),
+    };
+  }
+
+  /** Whether a job has ended within a multiple of its objective. */
+  #endsWithin({ tracked, arrivedAt, objective }: SimulatedJob, times: number) {
+    const finishedAt = this.#finishedAt.get(tracked.spec.id) ?? Infinity;
+    return finishedAt <= arrivedAt + times * objective;
+  }
+
+  /** Gives the scheduler a history of run times, as a running pool has. */
+  #learnRunTimes(): void {
+    const step = plainStep(1, []);
+    for (let i = 0; i < 50; i++) {
+      const ms = this.load.taskMs * spreadFactor(this.#random, 0.5);
+      this.#runTimes.record("pool", { ...step, estimateMs: ms }, ms);
+    }
+  }
+
+  /** Adds a job of one or two steps; returns its work in core-ms. */
+  #addJob(n: number): number {
+    const id = n.toString(16).padStart(16, "0");
+    const stepCount = this.#random() < 0.4 ? 2 : 1;
+    const taskMs = this.load.taskMs * spreadFactor(this.#random, 0.5);
+    const cpuMillis = Math.round(3_500 * spreadFactor(this.#random, 0.45));
+    const count = Math.max(1, Math.round(6 * spreadFactor(this.#random, 0.6)));
+    const steps: StepSpec[] = Array.from({ length: stepCount }, (_, i) => ({
+      ...plainStep(count, i === 0 ? [] : [i - 1]),
+      demand: { cpuMillis, memoryMb: 1_000, gpus: 0 },
+      estimateMs: taskMs * spreadFactor(this.#random, 0.2),
+    }));
+    const runMs = steps.map(() =>
+      Array.from(
+        { length: count },
+        () => taskMs * spreadFactor(this.#random, 0.3),
+      )
+    );
+    const spec = {
+      id,
+      queue: "pool",
+      payload: "",
+      steps,
+      priority: 0,
+      maxAttempts: 2,
+      sloMs,
+      stretch,
+      advised: false,
+      acceptedAt: this.#now,
+    };
+    const row = { table: "", partition: "", key: id, version: 1 };
+    const [tracked] = this.#registry.applyInbox([
+      { kind: "put", row: { ...row, value: JSON.stringify(spec) } },
+    ], this.#now);
+    this.#registry.openDue(tracked, this.#now, this.#now);
+    const chainMs = runMs.reduce((sum, step) => sum + Math.max(...step), 0);
+    const objective = sloMs + stretch * chainMs;
+    const arrivedAt = this.#now;
+    const runMsTotal = runMs.flat().reduce((sum, ms) => sum + ms, 0);
+    const work = runMsTotal * cpuMillis / 1_000;
+    this.#jobs.set(id, { tracked, arrivedAt, runMs, objective, work });
+    return work;
+  }
+
+  #endTasks(): void {
+    const ended = this.#running.filter((task) => task.endsAt <= this.#now);
+    this.#running = this.#running.filter((task) => task.endsAt > this.#now);
+    for (const { job, ref, session, run, startedAt, endsAt } of ended) {
+      session.remove(run);
+      this.#runTimes.record("pool", run.step, endsAt - startedAt);
+      job.progress = recordRunEnd(job.progress, job.spec, ref, 1, "done");
+      if (!isFinal(job.progress.phase)) continue;
+      this.#finishedAt.set(job.spec.id, this.#now);
+      this.#registry.active.delete(job.spec.id);
+    }
+  }
+
+  #placeTasks(): void {
+    const jobs = [...this.#registry.active]
+      .map((id) => this.#registry.byId.get(id))
+      .filter((job) => job !== undefined);
+    const policy = {
+      isClosed: () => false,
+      mayBeMoved: () => false,
+      lacksTicket: () => false,
+    };
+    const planned = planStarts(jobs, this.#sessions, policy, {
+      now: this.#now,
+      wall: this.#now,
+      runTimes: this.#runTimes,
+      deferred: this.#deferred.current(jobs, this.#sessions),
+    });
+    for (const { job, ref, endpoint: id } of planned) this.#start(job, ref, id);
+  }
+
+  #start(job: TrackedJob, ref: TaskRef, id: string): void {
+    const session = this.#sessions.find((each) => each.endpoint.id === id);
+    if (session === undefined || taskAt(job.progress, ref)?.done) return;
+    job.progress = placeTask(job.progress, ref, {
+      run: 1,
+      endpoint: id,
+      life: 0,
+    });
+    const run = newRun("running", {
+      name: taskName(job.spec.id, ref),
+      job: job.spec.id,
+      ref,
+      run: 1,
+      step: job.spec.steps[ref.step],
+    });
+    session.add(run);
+    const startedAt = this.#now + startDelayMs;
+    const runMs = this.#jobs.get(job.spec.id)?.runMs[ref.step][ref.index] ?? 0;
+    const endsAt = startedAt + runMs;
+    this.#running.push({ job, ref, session, run, startedAt, endsAt });
+  }
+}
+
+/** Plays a surge in a pool and returns what became of its jobs. */
+export function simulatePool(load: PoolLoad): PoolOutcome {
+  return new PoolSimulation(load).run();
+}
