Try: select the late jobs that can still end within their late objective

Hypothesis: late jobs are placed by their latest late start, so in a long overload they too delay each other until all of them are too late.

--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -17,7 +17,7 @@
 export { RunIndex } from "./run_index.ts";
 export {
   compareRanks,
-  deferRank,
+  lateTier,
   occurrenceTimes,
   rankAt,
 } from "./task_order.ts";
--- a/src/scheduler/job_rank.ts
+++ b/src/scheduler/job_rank.ts
@@ -6,9 +6,11 @@
   type JobSpec,
   type OccurrenceTasks,
 } from "../batch/index.ts";
-import type { PendingJob } from "./overload.ts";
+import type { PendingJob, PendingStart } from "./overload.ts";
 import type { TrackedJob } from "./job_registry.ts";
 import {
+  finishTimes,
+  noBenefitTier,
   type OccurrenceTimes,
   occurrenceTimes,
   onTimeTier,
@@ -112,26 +114,36 @@
   return estimate;
 }
 
-/** Returns the rank of a job's occurrence at the wall-clock time `wall` (ms). */
+/**
+ * Returns the rank of a job's occurrence at the wall-clock time `wall` (ms).
+ * `firstTier` is the best tier that it may have.
+ */
 export function rankOfJob(
   { spec, progress }: TrackedJob,
   occurrence: number,
   wall: number,
   runTimes: RunTimes,
+  firstTier = onTimeTier,
 ): Rank {
   const tasks = progress.open.get(occurrence) ?? [];
   const estimate = estimateOf(spec, occurrence, tasks, wall, runTimes);
-  return rankAt(spec, estimate, wall);
+  return rankAt(spec, estimate, wall, firstTier);
 }
 
-/** A job with pending starts, before sizes are relative to its queue's mean. */
-interface QueuedJob extends PendingJob {
+/** An occurrence with waiting tasks that can still earn something. */
+export interface PendingOccurrence extends Omit<PendingJob, "starts"> {
   readonly queue: string;
+  /** Whether it can still be on time. */
+  readonly canBeOnTime: boolean;
+  /** Its starts for the full benefit. */
+  readonly onTimeStarts: readonly PendingStart[];
+  /** Its starts for the late benefit. */
+  readonly lateStarts: readonly PendingStart[];
 }
 
-/** The jobs that have to start tasks, and the run time of these tasks. */
+/** The occurrences that have to start tasks, and the run time of these. */
 export interface PendingStarts {
-  readonly jobs: readonly PendingJob[];
+  readonly occurrences: readonly PendingOccurrence[];
   /** Mean run time of their waiting tasks, weighted by CPU, in ms. */
   readonly runMs: number;
 }
@@ -156,23 +168,36 @@
 }
 
 /**
- * Returns jobs whose sizes are relative to the mean size of their queue's jobs.
+ * Returns occurrences whose sizes are relative to the mean size in their queue.
  */
-function withRelativeSizes(jobs: readonly QueuedJob[]): readonly PendingJob[] {
+function withRelativeSizes(
+  occurrences: readonly PendingOccurrence[],
+): readonly PendingOccurrence[] {
   const sums = new Map<string, { total: number; count: number }>();
-  for (const { queue, size } of jobs) {
+  for (const { queue, size } of occurrences) {
     const sum = sums.get(queue) ?? { total: 0, count: 0 };
     sums.set(queue, { total: sum.total + size, count: sum.count + 1 });
   }
-  return jobs.map((job) => {
-    const { total, count } = sums.get(job.queue) ?? { total: 0, count: 0 };
+  return occurrences.map((each) => {
+    const { total, count } = sums.get(each.queue) ?? { total: 0, count: 0 };
     const mean = Math.max(1, total / Math.max(1, count));
-    return { ...job, size: job.size / mean };
+    return { ...each, size: each.size / mean };
   });
 }
 
+/** Returns the starts of waiting tasks for an end at the time `finishBy`. */
+function startsFor(
+  waiting: readonly WaitingWork[],
+  finishBy: number,
+): readonly PendingStart[] {
+  return waiting.map(({ chainMs, work }) => ({
+    startBy: finishBy - chainMs - startMarginMs,
+    work,
+  }));
+}
+
 /**
- * Returns the occurrences that can still be on time and have waiting tasks.
+ * Returns the occurrences that have waiting tasks and can still earn something.
  * Long-running jobs are left out.
  */
 export function collectPendingStarts(
@@ -180,24 +205,29 @@
   wall: number,
   runTimes: RunTimes,
 ): PendingStarts {
-  const pending: QueuedJob[] = [];
+  const pending: PendingOccurrence[] = [];
   const totals = new WaitingTotals();
   for (const { spec, progress, randomFraction } of jobs) {
     if (isLongRunning(spec)) continue;
     const { id, queue, priority } = spec;
     for (const [occurrence, tasks] of progress.open) {
       const estimate = estimateOf(spec, occurrence, tasks, wall, runTimes);
-      const { tier, finishBy } = rankAt(spec, estimate, wall);
+      const { tier } = rankAt(spec, estimate, wall);
       const { waiting, total: size } = estimate;
-      if (tier !== onTimeTier || waiting.length === 0) continue;
+      if (tier === noBenefitTier || waiting.length === 0) continue;
       totals.add(waiting);
-      const key = occurrenceKey(id, occurrence);
-      const starts = waiting.map(({ chainMs, work }) => ({
-        startBy: finishBy - chainMs - startMarginMs,
-        work,
-      }));
-      pending.push({ key, queue, priority, starts, size, randomFraction });
+      const finish = finishTimes(estimate);
+      pending.push({
+        key: occurrenceKey(id, occurrence),
+        queue,
+        priority,
+        size,
+        randomFraction,
+        canBeOnTime: tier === onTimeTier,
+        onTimeStarts: startsFor(waiting, finish.onTime),
+        lateStarts: startsFor(waiting, finish.late),
+      });
     }
   }
-  return { jobs: withRelativeSizes(pending), runMs: totals.runMs };
+  return { occurrences: withRelativeSizes(pending), runMs: totals.runMs };
 }
--- a/test/scheduler/planner_test.ts
+++ b/test/scheduler/planner_test.ts
@@ -5,6 +5,7 @@
 import type { StepSpec } from "../../src/batch/index.ts";
 import {
   type EndpointSession,
+  lateTier,
   planStarts,
   RunTimes,
   type TrackedJob,
@@ -34,7 +35,7 @@
     now: 0,
     wall: 0,
     runTimes,
-    deferred: new Set(deferredKeys),
+    deferred: new Map(deferredKeys.map((key) => [key, lateTier])),
   });
 }
 
