--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -112,7 +112,7 @@
         now: 0,
         wall: 100,
         runTimes,
-        deferred: new Map(),
+        deferred: new Set<string>(),
       };
       planStarts(waiting, sessions, policy, context);
       return performance.now() - startedAt;
--- a/src/scheduler/deferred_jobs.ts
+++ b/src/scheduler/deferred_jobs.ts
@@ -6,18 +6,9 @@
   type EndpointSession,
   freeCpu,
 } from "./endpoint_session.ts";
-import {
-  type PendingJob,
-  selectDeferredJobs,
-  type StartCapacity,
-} from "./overload.ts";
+import { selectDeferredJobs, type StartCapacity } from "./overload.ts";
 import type { TrackedJob } from "./job_registry.ts";
-import {
-  collectPendingStarts,
-  occurrenceKey,
-  type PendingOccurrence,
-} from "./job_rank.ts";
-import { lateTier, noBenefitTier } from "./task_order.ts";
+import { collectPendingStarts, occurrenceKey } from "./job_rank.ts";
 import type { RunTimes } from "./run_times.ts";
 
 /** Minimum interval between two selections, in ms. */
@@ -51,51 +42,9 @@
   return { cpuMillis, freeCpuMillis, runMs };
 }
 
-/** Priority of jobs that must not be deferred in favour of others. */
-const keptPriority = -1;
-
-/** Best tier that each deferred occurrence may have, by its key. */
-export type DeferredTiers = ReadonlyMap<string, number>;
-
-function toOnTimeJob(occurrence: PendingOccurrence): PendingJob {
-  return { ...occurrence, starts: occurrence.onTimeStarts };
-}
-
-function toLateJob(occurrence: PendingOccurrence): PendingJob {
-  return { ...occurrence, starts: occurrence.lateStarts };
-}
-
-/**
- * Selects the occurrences that are deferred in favour of others: first those
- * that are not to be on time; then, among these and those that are late, the
- * ones that are to earn nothing, because the late ones must not delay each other
- * until all of them are too late.
- */
-export function selectDeferredTiers(
-  occurrences: readonly PendingOccurrence[],
-  capacity: StartCapacity,
-  wall: number,
-): DeferredTiers {
-  const onTime = occurrences.filter((each) => each.canBeOnTime);
-  const late = selectDeferredJobs(onTime.map(toOnTimeJob), capacity, wall);
-  const kept = onTime.filter((each) => !late.has(each.key)).map((each) => ({
-    ...toOnTimeJob(each),
-    priority: keptPriority,
-  }));
-  const others = occurrences.filter((each) =>
-    !each.canBeOnTime || late.has(each.key)
-  );
-  const jobs = [...kept, ...others.map(toLateJob)];
-  const unserved = selectDeferredJobs(jobs, capacity, wall);
-  const tiers = new Map<string, number>();
-  for (const key of late) tiers.set(key, lateTier);
-  for (const key of unserved) tiers.set(key, noBenefitTier);
-  return tiers;
-}
-
 /** Selects the deferred occurrences of one shard's jobs, and logs them. */
 export class DeferredJobs {
-  #tiers: DeferredTiers = new Map();
+  #deferredKeys: ReadonlySet<string> = new Set();
   #selectedAt = -Infinity;
   /** Keys whose deferral has been logged, kept until their jobs end. */
   readonly #logged = new Set<string>();
@@ -103,29 +52,29 @@
   constructor(private readonly deps: DeferredJobsDependencies) {}
 
   /**
-   * Returns the deferred occurrences. The selection is repeated when the
-   * interval since the last one has passed.
+   * Returns the keys of the deferred occurrences. The selection is repeated
+   * when the interval since the last one has passed.
    */
   current(
     jobs: readonly TrackedJob[],
     sessions: readonly EndpointSession[],
-  ): DeferredTiers {
+  ): ReadonlySet<string> {
     const { clock, runTimes } = this.deps;
     const now = clock.now();
     const intervalMs = Math.max(
       minSelectionIntervalMs,
       jobs.length * selectionIntervalPerJobMs,
     );
-    if (now - this.#selectedAt < intervalMs) return this.#tiers;
+    if (now - this.#selectedAt < intervalMs) return this.#deferredKeys;
     this.#selectedAt = now;
     const wall = clock.wall();
     const pending = collectPendingStarts(jobs, wall, runTimes);
     const capacity = capacityOf(sessions, pending.runMs);
-    const tiers = selectDeferredTiers(pending.occurrences, capacity, wall);
-    this.#logNew(tiers, pending.occurrences.length, capacity);
+    const keys = selectDeferredJobs(pending.jobs, capacity, wall);
+    this.#logNew(keys, pending.jobs.length, capacity);
     if (this.#logged.size > maxLoggedKeys) this.#forgetEnded(jobs);
-    this.#tiers = tiers;
-    return tiers;
+    this.#deferredKeys = keys;
+    return keys;
   }
 
   /**
@@ -133,18 +82,17 @@
    * out of the set all the time.
    */
   #logNew(
-    tiers: DeferredTiers,
+    keys: ReadonlySet<string>,
     pendingCount: number,
     capacity: StartCapacity,
   ): void {
     const { shard, log } = this.deps;
-    for (const [job, tier] of tiers) {
+    for (const job of keys) {
       if (this.#logged.has(job)) continue;
       this.#logged.add(job);
       log.decision("job-put-off", {
         job,
         shard,
-        tier,
         due: pendingCount,
         cpuMillis: capacity.cpuMillis,
         freeCpuMillis: capacity.freeCpuMillis,
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -17,7 +17,7 @@
 export { RunIndex } from "./run_index.ts";
 export {
   compareRanks,
-  lateTier,
+  deferRank,
   occurrenceTimes,
   rankAt,
 } from "./task_order.ts";
--- a/src/scheduler/job_rank.ts
+++ b/src/scheduler/job_rank.ts
@@ -6,11 +6,9 @@
   type JobSpec,
   type OccurrenceTasks,
 } from "../batch/index.ts";
-import type { PendingJob, PendingStart } from "./overload.ts";
+import type { PendingJob } from "./overload.ts";
 import type { TrackedJob } from "./job_registry.ts";
 import {
-  finishTimes,
-  noBenefitTier,
   type OccurrenceTimes,
   occurrenceTimes,
   onTimeTier,
@@ -114,36 +112,26 @@
   return estimate;
 }
 
-/**
- * Returns the rank of a job's occurrence at the wall-clock time `wall` (ms).
- * `firstTier` is the best tier that it may have.
- */
+/** Returns the rank of a job's occurrence at the wall-clock time `wall` (ms). */
 export function rankOfJob(
   { spec, progress }: TrackedJob,
   occurrence: number,
   wall: number,
   runTimes: RunTimes,
-  firstTier = onTimeTier,
 ): Rank {
   const tasks = progress.open.get(occurrence) ?? [];
   const estimate = estimateOf(spec, occurrence, tasks, wall, runTimes);
-  return rankAt(spec, estimate, wall, firstTier);
+  return rankAt(spec, estimate, wall);
 }
 
-/** An occurrence with waiting tasks that can still earn something. */
-export interface PendingOccurrence extends Omit<PendingJob, "starts"> {
+/** A job with pending starts, before sizes are relative to its queue's mean. */
+interface QueuedJob extends PendingJob {
   readonly queue: string;
-  /** Whether it can still be on time. */
-  readonly canBeOnTime: boolean;
-  /** Its starts for the full benefit. */
-  readonly onTimeStarts: readonly PendingStart[];
-  /** Its starts for the late benefit. */
-  readonly lateStarts: readonly PendingStart[];
 }
 
-/** The occurrences that have to start tasks, and the run time of these. */
+/** The jobs that have to start tasks, and the run time of these tasks. */
 export interface PendingStarts {
-  readonly occurrences: readonly PendingOccurrence[];
+  readonly jobs: readonly PendingJob[];
   /** Mean run time of their waiting tasks, weighted by CPU, in ms. */
   readonly runMs: number;
 }
@@ -168,36 +156,23 @@
 }
 
 /**
- * Returns occurrences whose sizes are relative to the mean size in their queue.
+ * Returns jobs whose sizes are relative to the mean size of their queue's jobs.
  */
-function withRelativeSizes(
-  occurrences: readonly PendingOccurrence[],
-): readonly PendingOccurrence[] {
+function withRelativeSizes(jobs: readonly QueuedJob[]): readonly PendingJob[] {
   const sums = new Map<string, { total: number; count: number }>();
-  for (const { queue, size } of occurrences) {
+  for (const { queue, size } of jobs) {
     const sum = sums.get(queue) ?? { total: 0, count: 0 };
     sums.set(queue, { total: sum.total + size, count: sum.count + 1 });
   }
-  return occurrences.map((each) => {
-    const { total, count } = sums.get(each.queue) ?? { total: 0, count: 0 };
+  return jobs.map((job) => {
+    const { total, count } = sums.get(job.queue) ?? { total: 0, count: 0 };
     const mean = Math.max(1, total / Math.max(1, count));
-    return { ...each, size: each.size / mean };
+    return { ...job, size: job.size / mean };
   });
 }
 
-/** Returns the starts of waiting tasks for an end at the time `finishBy`. */
-function startsFor(
-  waiting: readonly WaitingWork[],
-  finishBy: number,
-): readonly PendingStart[] {
-  return waiting.map(({ chainMs, work }) => ({
-    startBy: finishBy - chainMs - startMarginMs,
-    work,
-  }));
-}
-
 /**
- * Returns the occurrences that have waiting tasks and can still earn something.
+ * Returns the occurrences that can still be on time and have waiting tasks.
  * Long-running jobs are left out.
  */
 export function collectPendingStarts(
@@ -205,29 +180,24 @@
   wall: number,
   runTimes: RunTimes,
 ): PendingStarts {
-  const pending: PendingOccurrence[] = [];
+  const pending: QueuedJob[] = [];
   const totals = new WaitingTotals();
   for (const { spec, progress, randomFraction } of jobs) {
     if (isLongRunning(spec)) continue;
     const { id, queue, priority } = spec;
     for (const [occurrence, tasks] of progress.open) {
       const estimate = estimateOf(spec, occurrence, tasks, wall, runTimes);
-      const { tier } = rankAt(spec, estimate, wall);
+      const { tier, finishBy } = rankAt(spec, estimate, wall);
       const { waiting, total: size } = estimate;
-      if (tier === noBenefitTier || waiting.length === 0) continue;
+      if (tier !== onTimeTier || waiting.length === 0) continue;
       totals.add(waiting);
-      const finish = finishTimes(estimate);
-      pending.push({
-        key: occurrenceKey(id, occurrence),
-        queue,
-        priority,
-        size,
-        randomFraction,
-        canBeOnTime: tier === onTimeTier,
-        onTimeStarts: startsFor(waiting, finish.onTime),
-        lateStarts: startsFor(waiting, finish.late),
-      });
+      const key = occurrenceKey(id, occurrence);
+      const starts = waiting.map(({ chainMs, work }) => ({
+        startBy: finishBy - chainMs - startMarginMs,
+        work,
+      }));
+      pending.push({ key, queue, priority, starts, size, randomFraction });
     }
   }
-  return { occurrences: withRelativeSizes(pending), runMs: totals.runMs };
+  return { jobs: withRelativeSizes(pending), runMs: totals.runMs };
 }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -16,9 +16,8 @@
 import type { EndpointSession } from "./endpoint_session.ts";
 import { occurrenceKey, rankOfJob } from "./job_rank.ts";
 import { UnplacedDemands } from "./unplaced_demands.ts";
-import { compareRanks, type Rank } from "./task_order.ts";
+import { compareRanks, deferRank, type Rank } from "./task_order.ts";
 import { chooseEndpoint } from "./endpoint_choice.ts";
-import type { DeferredTiers } from "./deferred_jobs.ts";
 import type { RunTimes } from "./run_times.ts";
 import { type CurrentTask, EndpointCandidate } from "./endpoint_candidate.ts";
 import { acceptsTasks } from "./failure_history.ts";
@@ -38,8 +37,8 @@
   readonly wall: number;
   /** Expected run times of tasks. */
   readonly runTimes: RunTimes;
-  /** The occurrences that are deferred in favour of others. */
-  readonly deferred: DeferredTiers;
+  /** Keys of the occurrences that are deferred in favour of others. */
+  readonly deferred: ReadonlySet<string>;
 }
 
 /** Restrictions on endpoints beyond the state of their sessions. */
@@ -109,9 +108,9 @@
     for (const ready of readySteps(progress, spec)) {
       if (ready.waiting === 0) continue;
       const { occurrence } = ready;
-      const tier = deferred.get(occurrenceKey(spec.id, occurrence));
-      const rank = rankOfJob(job, occurrence, wall, runTimes, tier);
-      waiting.push({ job, ready, rank });
+      const rank = rankOfJob(job, occurrence, wall, runTimes);
+      const isDeferred = deferred.has(occurrenceKey(spec.id, occurrence));
+      waiting.push({ job, ready, rank: isDeferred ? deferRank(rank) : rank });
     }
   }
   return waiting.sort((a, b) => compareRanks(a.rank, b.rank));
--- a/src/scheduler/task_order.ts
+++ b/src/scheduler/task_order.ts
@@ -65,10 +65,10 @@
 export const onTimeTier = 1;
 
 /** Tier of a job that can only end late. */
-export const lateTier = 2;
+const lateTier = 2;
 
 /** Tier of a job that earns nothing any more. */
-export const noBenefitTier = 3;
+const noBenefitTier = 3;
 
 /** Sort key of an occurrence's tasks; lower values are placed first. */
 export interface Rank {
@@ -81,6 +81,8 @@
    * the benefit of the tier, in ms; the release time for long-running tasks.
    */
   readonly latestStart: number;
+  /** Wall-clock time by which it must end to meet its objective, in ms. */
+  readonly finishBy: number;
 }
 
 /** Run time estimates and progress of an occurrence. */
@@ -119,47 +121,38 @@
   return { releaseAt, objective: spec.sloMs + spec.stretch * totalMs, leftMs };
 }
 
-/** Times by which the remaining work must end to earn, wall clock in ms. */
-export interface FinishTimes {
-  /** For the full benefit. */
-  readonly onTime: number;
-  /** For the late benefit. */
-  readonly late: number;
-}
-
-/** Returns the times by which an occurrence must end to earn its benefits. */
-export function finishTimes(
-  { releaseAt, objective }: OccurrenceTimes,
-): FinishTimes {
-  return {
-    onTime: releaseAt + objective,
-    late: releaseAt + lateBenefitFactor * objective,
-  };
-}
-
-/**
- * Returns the rank of an occurrence at the wall-clock time `now`, in ms. A job
- * that is deferred in favour of others is ranked as if it could only reach
- * `firstTier`.
- */
+/** Returns the rank of an occurrence at the wall-clock time `now`, in ms. */
 export function rankAt(
   { priority }: JobSpec,
-  times: OccurrenceTimes,
+  { releaseAt, objective, leftMs }: OccurrenceTimes,
   now: number,
-  firstTier = onTimeTier,
 ): Rank {
-  if (times.objective === Infinity) {
-    const { releaseAt: latestStart } = times;
-    return { priority, tier: longRunningTier, latestStart };
+  const finishBy = releaseAt + objective;
+  if (objective === Infinity) {
+    return {
+      priority,
+      tier: longRunningTier,
+      latestStart: releaseAt,
+      finishBy,
+    };
   }
-  const finish = finishTimes(times);
-  const latestOnTimeStart = finish.onTime - times.leftMs;
-  if (firstTier === onTimeTier && now <= latestOnTimeStart) {
-    return { priority, tier: onTimeTier, latestStart: latestOnTimeStart };
+  const latestOnTimeStart = finishBy - leftMs;
+  if (now <= latestOnTimeStart) {
+    return {
+      priority,
+      tier: onTimeTier,
+      latestStart: latestOnTimeStart,
+      finishBy,
+    };
   }
-  const latestStart = finish.late - times.leftMs;
-  const tier = now <= latestStart ? lateTier : noBenefitTier;
-  return { priority, tier: Math.max(tier, firstTier), latestStart };
+  const latestLateStart = releaseAt + lateBenefitFactor * objective - leftMs;
+  const tier = now <= latestLateStart ? lateTier : noBenefitTier;
+  return { priority, tier, latestStart: latestLateStart, finishBy };
+}
+
+/** Returns the rank of a job that is deferred in favour of others. */
+export function deferRank(rank: Rank): Rank {
+  return { ...rank, tier: Math.max(rank.tier, lateTier) };
 }
 
 /** Compares two ranks; sorts those to be placed first to the front. */
--- a/test/scheduler/planner_test.ts
+++ b/test/scheduler/planner_test.ts
@@ -5,7 +5,6 @@
 import type { StepSpec } from "../../src/batch/index.ts";
 import {
   type EndpointSession,
-  lateTier,
   planStarts,
   RunTimes,
   type TrackedJob,
@@ -35,7 +34,7 @@
     now: 0,
     wall: 0,
     runTimes,
-    deferred: new Map(deferredKeys.map((key) => [key, lateTier])),
+    deferred: new Set(deferredKeys),
   });
 }
 
--- a/test/scheduler/pool_simulation.ts
+++ b/test/scheduler/pool_simulation.ts
@@ -52,8 +52,6 @@
   readonly overload: number;
   /** Length of the surge, in ms. */
   readonly surgeMs: number;
-  /** Time from the surge's start for which no task is placed, in ms. */
-  readonly outageMs?: number;
 }
 
 /** The outcome of the jobs that arrived in a simulated surge. */
@@ -139,7 +137,7 @@
 
   /** Plays the surge and the time until its last job can be on time. */
   run(): PoolOutcome {
-    const { surgeMs, overload, endpoints, outageMs = 0 } = this.load;
+    const { surgeMs, overload, endpoints } = this.load;
     const capacity = endpoints * endpointCores;
     let work = 0;
     let arrivals = 0;
@@ -150,7 +148,7 @@
         work += this.#addJob(arrivals++);
       }
       this.#endTasks();
-      if (this.#now >= outageMs) this.#placeTasks();
+      this.#placeTasks();
       this.#now += passMs;
     }
     const jobs = [...this.#jobs.values()];
