Gather demand, offers, forecast and moves of hosts in a package of their own

The way from arriving work to hosts was spread over scheduler and upkeep, which imported each other. It is now in src/capacity, below both, and works on small interfaces (PoolJob, PoolEndpoint, RunTimeEstimates) in place of sessions and tracked jobs. The arithmetic on resources went to src/batch, the interface of the decision log to src/telemetry. The scheduler imports upkeep for the rows of endpoints to vacate; upkeep imports the scheduler no more.

--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -9,6 +9,7 @@
   parseTaskName,
   type StepSpec,
 } from "../src/batch/index.ts";
+import type { ProviderHost } from "../src/capacity/index.ts";
 import { EndpointRegistry, type TaskEndpoint } from "../src/endpoint/index.ts";
 import { Intake } from "../src/intake/index.ts";
 import { BatchService } from "../src/service/index.ts";
@@ -17,7 +18,6 @@
   HostControl,
   HostOrderOutcome,
   OrderSender,
-  ProviderHost,
   RequestedWave,
 } from "../src/upkeep/index.ts";
 import { Ok } from "ts-results";
--- a/src/scheduler/arrival_rate.ts
+++ b/src/capacity/arrival_rate.ts
@@ -10,7 +10,7 @@
  * measurement, because a host can be released without any lead time.
  */
 import type { JobSpec } from "../batch/index.ts";
-import type { RunTimes } from "./run_times.ts";
+import type { RunTimeEstimates } from "./pool_state.ts";
 
 /** Shortest window in which arriving work is measured, in ms. */
 const minWindowMs = 800;
@@ -86,7 +86,7 @@
 export class ArrivalRate {
   #arrivals: Arrival[] = [];
 
-  constructor(private readonly runTimes: RunTimes) {}
+  constructor(private readonly runTimes: RunTimeEstimates) {}
 
   /** Records a job that was accepted at the monotonic time `now` (ms). */
   record(spec: JobSpec, now: number): void {
--- a/src/scheduler/demand_reporter.ts
+++ b/src/capacity/demand_reporter.ts
@@ -5,20 +5,21 @@
 import type { JobSpec } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import { parseJson, type RowPut } from "../store/index.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
+import { ArrivalRate } from "./arrival_rate.ts";
+import { computeHostDemand } from "./host_demand.ts";
+import { HostOffers } from "./host_offers.ts";
 import {
   type PoolDemand,
   poolDemandKey,
   poolDemandSchema,
-} from "../upkeep/index.ts";
-import type { DecisionLog } from "./decision_log.ts";
-import { ArrivalRate } from "./arrival_rate.ts";
-import { computeHostDemand, type IsLate } from "./demand.ts";
-import type { EndpointSession } from "./endpoint_session.ts";
-import { HostOffers } from "./host_offers.ts";
-import type { TrackedJob } from "./job_registry.ts";
-import { occurrenceKey, rankOfJob } from "./job_rank.ts";
-import { onTimeTier } from "./task_order.ts";
-import type { RunTimes } from "./run_times.ts";
+} from "./pool_demand.ts";
+import type {
+  IsLate,
+  PoolEndpoint,
+  PoolJob,
+  RunTimeEstimates,
+} from "./pool_state.ts";
 
 /** Minimum time between two writes of the demand row, in ms. */
 const minWriteIntervalMs = 180;
@@ -46,7 +47,9 @@
   readonly shard: string;
   readonly clock: Clock;
   readonly log: DecisionLog;
-  readonly runTimes: RunTimes;
+  readonly runTimes: RunTimeEstimates;
+  /** Creates the test for late occurrences at a wall-clock time (ms). */
+  readonly createLateFilter: (wall: number) => IsLate;
   /**
    * Writes a row in the next commit, and calls `onStored` once it is committed.
    */
@@ -98,8 +101,8 @@
    * @param minHosts Hosts that are needed whatever the size of the jobs.
    */
   report(
-    jobs: readonly TrackedJob[],
-    sessions: readonly EndpointSession[],
+    jobs: readonly PoolJob[],
+    endpoints: readonly PoolEndpoint[],
     minHosts: number,
   ): void {
     const { clock, shard } = this.deps;
@@ -109,16 +112,16 @@
     const isLate = this.#lateFilter(now);
     const hostsForJobs = computeHostDemand(
       jobs,
-      sessions,
+      endpoints,
       arrivingCpuMillis,
       isLate,
     );
     const want = Math.max(hostsForJobs, minHosts);
-    this.offers.adjust(sessions, want);
-    this.#logChange(want, sessions, arrivingCpuMillis);
-    const silent = sessions
-      .filter((s) => s.isSilentFor(unresponsiveMs, now))
-      .map((s) => s.endpoint.id);
+    this.offers.adjust(endpoints, want);
+    this.#logChange(want, endpoints, arrivingCpuMillis);
+    const silent = endpoints
+      .filter((each) => each.silentMs >= unresponsiveMs)
+      .map((each) => each.id);
     const offered = [...this.offers.offered];
     const demand: PoolDemand = { want, offered, silent };
     const value = JSON.stringify(demand);
@@ -140,22 +143,13 @@
     else this.#offeringSince ??= now;
     const since = this.#offeringSince;
     if (since !== undefined && now - since > unclaimedMs) return () => false;
-    const wall = this.deps.clock.wall();
-    const cache = new Map<string, boolean>();
-    return (job, occurrence) => {
-      const key = occurrenceKey(job.spec.id, occurrence);
-      const cached = cache.get(key);
-      if (cached !== undefined) return cached;
-      const { tier } = rankOfJob(job, occurrence, wall, this.deps.runTimes);
-      cache.set(key, tier > onTimeTier);
-      return tier > onTimeTier;
-    };
+    return this.deps.createLateFilter(this.deps.clock.wall());
   }
 
   /** Logs the demand when the number of wanted hosts has changed. */
   #logChange(
     want: number,
-    sessions: readonly EndpointSession[],
+    endpoints: readonly PoolEndpoint[],
     arrivingCpuMillis: number,
   ): void {
     if (want === this.#loggedWant) return;
@@ -163,7 +157,7 @@
     this.deps.log.decision("pool-demand", {
       shard: this.deps.shard,
       want,
-      endpoints: sessions.filter((s) => s.isOpen).length,
+      endpoints: endpoints.filter((each) => each.isOpen).length,
       offered: this.offers.offered.length,
       arrivingCpu: Math.round(arrivingCpuMillis),
     });
--- a/src/scheduler/demand.ts
+++ b/src/capacity/host_demand.ts
@@ -7,14 +7,15 @@
  * hosts that on-time work of another pool needs. The future need is the forecast
  * of arriving work: a surge shows in the arrivals before its tasks queue up.
  */
-import { readySteps, type Resources } from "../batch/index.ts";
-import type { EndpointSession } from "./endpoint_session.ts";
-import type { TrackedJob } from "./job_registry.ts";
 import {
   addResources,
   multiplyResources,
+  noResources,
+  readySteps,
   reservedResources,
-} from "./endpoint_choice.ts";
+  type Resources,
+} from "../batch/index.ts";
+import type { IsLate, PoolEndpoint, PoolJob } from "./pool_state.ts";
 
 /** Share of a host that tasks can fill; the rest is lost to fragmentation. */
 const maxFillShare = 0.85;
@@ -28,14 +29,9 @@
 /** Weight of the CPU and memory of late jobs in the need of a pool. */
 const lateWorkWeight = 0.25;
 
-const noResources: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
-
-/** Returns whether an occurrence of a job can no longer be on time. */
-export type IsLate = (job: TrackedJob, occurrence: number) => boolean;
-
 /** Adds up the resources of open tasks, those of late jobs with a weight. */
 function requestedResources(
-  jobs: readonly TrackedJob[],
+  jobs: readonly PoolJob[],
   isLate: IsLate,
 ): Resources {
   let onTime = noResources;
@@ -56,7 +52,7 @@
 }
 
 /** Returns the fewest endpoints that satisfy every step's `maxPerEndpoint`. */
-function minEndpointsForSpread(jobs: Iterable<TrackedJob>): number {
+function minEndpointsForSpread(jobs: Iterable<PoolJob>): number {
   let most = 0;
   for (const { progress, spec } of jobs) {
     for (const { step, open } of readySteps(progress, spec)) {
@@ -74,13 +70,13 @@
  * registered, the capacity of a host is unknown and only spreading counts.
  */
 export function computeHostDemand(
-  jobs: readonly TrackedJob[],
-  sessions: readonly EndpointSession[],
+  jobs: readonly PoolJob[],
+  endpoints: readonly PoolEndpoint[],
   arrivingCpuMillis: number,
   isLate: IsLate,
 ): number {
   const requested = requestedResources(jobs, isLate);
-  const capacity = sessions[0]?.endpoint.capacity;
+  const capacity = endpoints[0]?.capacity;
   const spreadHosts = minEndpointsForSpread(jobs);
   if (capacity === undefined) return Math.max(minHosts, spreadHosts);
   const cpu = Math.max(requested.cpuMillis, arrivingCpuMillis);
--- a/src/upkeep/host_moves.ts
+++ b/src/capacity/host_moves.ts
@@ -12,22 +12,9 @@
  * pool. Because a network partition usually affects a whole availability zone,
  * hosts of the zones with the most unreachable endpoints are moved last.
  */
-import * as v from "valibot";
 import type { Pool } from "../catalog/index.ts";
-import type { ProviderHost } from "./host_control.ts";
-
-/** Schema of a pool's demand row. */
-export const poolDemandSchema = v.object({
-  /** Number of hosts that the pool's jobs require. */
-  want: v.number(),
-  /** Endpoints that are kept empty, so that their hosts may be moved. */
-  offered: v.array(v.string()),
-  /** Endpoints that do not answer; rows of older releases lack them. */
-  silent: v.optional(v.array(v.string()), []),
-});
-
-/** Demand of a pool as reported by the owner of its shard. */
-export type PoolDemand = v.InferOutput<typeof poolDemandSchema>;
+import type { PoolDemand } from "./pool_demand.ts";
+import type { ProviderHost } from "./provider_host.ts";
 
 /**
  * Time for which a host must have been offered before it moves to standby, in
--- a/src/scheduler/host_offers.ts
+++ b/src/capacity/host_offers.ts
@@ -8,7 +8,7 @@
  * time. So an endpoint whose offer was withdrawn gets tasks only some time after
  * the store has confirmed the withdrawal.
  */
-import type { EndpointSession } from "./endpoint_session.ts";
+import type { PoolEndpoint } from "./pool_state.ts";
 
 /**
  * Time from a confirmed withdrawal until the owner of the fleet no longer acts
@@ -75,9 +75,9 @@
    * Adjusts the offers to the number of hosts that the pool needs: closes and
    * offers surplus endpoints, or withdraws offers.
    */
-  adjust(sessions: readonly EndpointSession[], wantedHosts: number): void {
-    const open = sessions.filter((s) => s.isOpen);
-    const ids = new Set(open.map((s) => s.endpoint.id));
+  adjust(endpoints: readonly PoolEndpoint[], wantedHosts: number): void {
+    const open = endpoints.filter((each) => each.isOpen);
+    const ids = new Set(open.map((each) => each.id));
     for (const id of this.#offered) {
       if (!ids.has(id)) this.#offered.delete(id);
     }
@@ -99,15 +99,15 @@
    * Takes `count` endpoints, those with the fewest runs first; offers the empty
    * ones and closes the others. Endpoints with long-running tasks are left out.
    */
-  #closeAndOffer(open: readonly EndpointSession[], count: number): void {
+  #closeAndOffer(open: readonly PoolEndpoint[], count: number): void {
     const candidates = open
-      .filter(({ endpoint: { id }, runs }) =>
-        !this.#offered.has(id) && this.#withdrawn.get(id) !== unconfirmed &&
-        [...runs.values()].every((run) => !run.step.longRunning)
+      .filter(({ id, hasLongRunningRuns }) =>
+        !hasLongRunningRuns && !this.#offered.has(id) &&
+        this.#withdrawn.get(id) !== unconfirmed
       )
-      .sort((a, b) => a.runs.size - b.runs.size);
-    for (const { endpoint: { id }, runs } of candidates.slice(0, count)) {
-      if (runs.size > 0) {
+      .sort((a, b) => a.runCount - b.runCount);
+    for (const { id, runCount } of candidates.slice(0, count)) {
+      if (runCount > 0) {
         this.#closing.add(id);
         continue;
       }
--- /dev/null
+++ b/src/capacity/pool_state.ts
@@ -0,0 +1,36 @@
+/** What the demand of a pool is computed from: its jobs and its endpoints. */
+import type {
+  JobProgress,
+  JobSpec,
+  Resources,
+  StepSpec,
+} from "../batch/index.ts";
+
+/** A job of the pool. */
+export interface PoolJob {
+  readonly spec: JobSpec;
+  readonly progress: JobProgress;
+}
+
+/** An endpoint of the pool, as its shard's owner sees it. */
+export interface PoolEndpoint {
+  readonly id: string;
+  readonly capacity: Resources;
+  /** Whether tasks may be placed there. */
+  readonly isOpen: boolean;
+  /** Number of runs that may be in progress there. */
+  readonly runCount: number;
+  /** Whether one of these runs is long-running. */
+  readonly hasLongRunningRuns: boolean;
+  /** Time for which it has not answered, in ms; 0 if it has. */
+  readonly silentMs: number;
+}
+
+/** Expected run times of tasks. */
+export interface RunTimeEstimates {
+  /** Returns the expected run time of a task of a queue's step, in ms. */
+  expectedMs(queue: string, step: StepSpec): number;
+}
+
+/** Returns whether an occurrence of a job can no longer be on time. */
+export type IsLate = (job: PoolJob, occurrence: number) => boolean;
--- a/src/scheduler/deferred_jobs.ts
+++ b/src/scheduler/deferred_jobs.ts
@@ -1,6 +1,6 @@
 /** Selects a shard's jobs that are deferred in an overload, at intervals. */
 import type { Clock } from "../clock/index.ts";
-import type { DecisionLog } from "./decision_log.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
 import {
   cpuForJobs,
   type EndpointSession,
--- a/src/scheduler/driver_dependencies.ts
+++ b/src/scheduler/driver_dependencies.ts
@@ -10,7 +10,7 @@
   type ShardLease,
 } from "../cluster/index.ts";
 import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
-import type { DecisionFields, DecisionLog } from "./decision_log.ts";
+import type { DecisionFields, DecisionLog } from "../telemetry/index.ts";
 import {
   answerDeliveryMs,
   type EndpointSession,
--- a/src/scheduler/endpoint_candidate.ts
+++ b/src/scheduler/endpoint_candidate.ts
@@ -5,13 +5,15 @@
  * creates one candidate per endpoint for all tasks, and all candidates share
  * one record of the current task.
  */
-import { type Resources, stepName, type StepSpec } from "../batch/index.ts";
-import type { EndpointSession } from "./endpoint_session.ts";
 import {
   addResources,
-  type PlacementCandidate,
   reservedResources,
-} from "./endpoint_choice.ts";
+  type Resources,
+  stepName,
+  type StepSpec,
+} from "../batch/index.ts";
+import type { EndpointSession } from "./endpoint_session.ts";
+import { type PlacementCandidate } from "./endpoint_choice.ts";
 import { failureRatio } from "./failure_history.ts";
 
 /** The task for which a pass is choosing an endpoint. */
--- a/src/scheduler/endpoint_choice.ts
+++ b/src/scheduler/endpoint_choice.ts
@@ -25,41 +25,6 @@
   readonly failureRatio: number;
 }
 
-/**
- * Returns the resources that a task of the step reserves on its endpoint. A
- * filler task reserves no CPU, because it runs on unused capacity.
- */
-export function reservedResources(step: StepSpec): Resources {
-  return step.filler ? { ...step.demand, cpuMillis: 0 } : step.demand;
-}
-
-/** Returns the sum of two amounts of resources. */
-export function addResources(a: Resources, b: Resources): Resources {
-  return {
-    cpuMillis: a.cpuMillis + b.cpuMillis,
-    memoryMb: a.memoryMb + b.memoryMb,
-    gpus: a.gpus + b.gpus,
-  };
-}
-
-/** Returns an amount of resources multiplied by a number. */
-export function multiplyResources(a: Resources, times: number): Resources {
-  return {
-    cpuMillis: a.cpuMillis * times,
-    memoryMb: a.memoryMb * times,
-    gpus: a.gpus * times,
-  };
-}
-
-/** Returns the difference of two amounts of resources. */
-export function subtractResources(a: Resources, b: Resources): Resources {
-  return {
-    cpuMillis: a.cpuMillis - b.cpuMillis,
-    memoryMb: a.memoryMb - b.memoryMb,
-    gpus: a.gpus - b.gpus,
-  };
-}
-
 /** Returns whether a candidate can run another task of the step now. */
 export function isEligible(
   step: StepSpec,
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -5,18 +5,21 @@
  *
  * Times are of the owner's monotonic clock, in ms, unless stated otherwise.
  */
-import type { Resources, StepSpec, TaskRef } from "../batch/index.ts";
+import {
+  addResources,
+  noResources,
+  reservedResources,
+  type Resources,
+  type StepSpec,
+  subtractResources,
+  type TaskRef,
+} from "../batch/index.ts";
 import type {
   EndedTask,
   EndpointLists,
   RunningTask,
   TaskEndpoint,
 } from "../endpoint/index.ts";
-import {
-  addResources,
-  reservedResources,
-  subtractResources,
-} from "./endpoint_choice.ts";
 import { type FailureHistory, noFailures } from "./failure_history.ts";
 
 /**
@@ -115,8 +118,6 @@
   readonly foreign: readonly RunningTask[];
 }
 
-const noResources: Resources = { cpuMillis: 0, memoryMb: 0, gpus: 0 };
-
 /**
  * CPU capacity that an endpoint has for tasks other than long-running ones, in
  * thousandths of a core; 0 while no tasks may be placed there.
@@ -212,10 +213,9 @@
     return this.#unansweredSince !== undefined;
   }
 
-  /** Whether holds have had no answer for at least `ms`. */
-  isSilentFor(ms: number, now: number): boolean {
-    return this.#unansweredSince !== undefined &&
-      now - this.#unansweredSince >= ms;
+  /** Time for which holds have had no answer, in ms; 0 after an answer. */
+  silentMs(now: number): number {
+    return now - (this.#unansweredSince ?? now);
   }
 
   /** Records that a hold had no answer. */
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -3,7 +3,6 @@
  * endpoints and supervises their runs.
  */
 export { CommitQueue } from "./commit_queue.ts";
-export type { DecisionFields, DecisionLog } from "./decision_log.ts";
 export { EndpointSession, type Run, taskLeaseMs } from "./endpoint_session.ts";
 export {
   type PendingJob,
@@ -11,7 +10,6 @@
   type StartCapacity,
 } from "./overload.ts";
 export { JobRegistry, type TrackedJob } from "./job_registry.ts";
-export { ArrivalRate } from "./arrival_rate.ts";
 export { RunSupervisor, type SupervisorDriver } from "./run_supervisor.ts";
 export { PassTimer } from "./pass_timer.ts";
 export { RunIndex } from "./run_index.ts";
@@ -23,11 +21,9 @@
 } from "./task_order.ts";
 export { computePaceChanges, highestLatencyRatio } from "./filler_pace.ts";
 export {
-  addResources,
   chooseEndpoint,
   isEligible,
   type PlacementCandidate,
-  reservedResources,
 } from "./endpoint_choice.ts";
 export { planStarts } from "./planner.ts";
 export { TicketCache } from "./ticket_cache.ts";
--- a/src/scheduler/job_rank.ts
+++ b/src/scheduler/job_rank.ts
@@ -114,7 +114,7 @@
 
 /** Returns the rank of a job's occurrence at the wall-clock time `wall` (ms). */
 export function rankOfJob(
-  { spec, progress }: TrackedJob,
+  { spec, progress }: Pick<TrackedJob, "spec" | "progress">,
   occurrence: number,
   wall: number,
   runTimes: RunTimes,
--- a/src/scheduler/placer.ts
+++ b/src/scheduler/placer.ts
@@ -10,14 +10,14 @@
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
+import type { HostOffers } from "../capacity/index.ts";
 import type { Clock } from "../clock/index.ts";
 import type { ShardLease } from "../cluster/index.ts";
 import type { VacateState } from "../upkeep/index.ts";
 import type { AdvisedSteps } from "./advised_steps.ts";
 import type { CommitQueue } from "./commit_queue.ts";
-import type { DecisionLog } from "./decision_log.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
 import type { EndpointDriver } from "./endpoint_driver.ts";
-import type { HostOffers } from "./host_offers.ts";
 import type { JobRegistry, TrackedJob } from "./job_registry.ts";
 import {
   type EndpointPolicy,
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -4,7 +4,7 @@
  */
 import { delay } from "../clock/index.ts";
 import type { Rejection } from "../endpoint/index.ts";
-import type { DecisionFields } from "./decision_log.ts";
+import type { DecisionFields } from "../telemetry/index.ts";
 import {
   type DriverDependencies,
   logRunDecision,
--- a/src/scheduler/run_supervisor.ts
+++ b/src/scheduler/run_supervisor.ts
@@ -11,7 +11,7 @@
   isUpToDate,
   type StepAvailability,
 } from "./availability.ts";
-import type { DecisionLog } from "./decision_log.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
 import type { EndpointDriver } from "./endpoint_driver.ts";
 import type { EndpointSession, Run } from "./endpoint_session.ts";
 import type { JobRegistry, TrackedJob } from "./job_registry.ts";
--- a/src/scheduler/shard_dependencies.ts
+++ b/src/scheduler/shard_dependencies.ts
@@ -8,7 +8,7 @@
 } from "../endpoint/index.ts";
 import type { Store } from "../store/index.ts";
 import type { VacateState } from "../upkeep/index.ts";
-import type { DecisionLog } from "./decision_log.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
 
 /** Dependencies and callbacks of a `ShardOwner`. */
 export interface ShardDependencies {
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -33,14 +33,15 @@
   type StoreRowChange,
   TableWatch,
 } from "../store/index.ts";
-import { poolDemandKey } from "../upkeep/index.ts";
+import { DemandReporter, poolDemandKey } from "../capacity/index.ts";
 import { AdvisedSteps } from "./advised_steps.ts";
 import { RunSupervisor } from "./run_supervisor.ts";
 import { CommitQueue } from "./commit_queue.ts";
-import { DemandReporter } from "./demand_reporter.ts";
 import { EndpointDriver } from "./endpoint_driver.ts";
 import type { Run } from "./endpoint_session.ts";
 import { JobRegistry, type TrackedJob } from "./job_registry.ts";
+import { createLateFilter } from "./late_filter.ts";
+import { toPoolEndpoint } from "./pool_endpoint.ts";
 import type { ShardDependencies } from "./shard_dependencies.ts";
 import { ShardReports } from "./shard_reports.ts";
 import { Placer } from "./placer.ts";
@@ -109,6 +110,7 @@
     this.#demandReporter = new DemandReporter({
       ...deps,
       runTimes: this.#runTimes,
+      createLateFilter: (at) => createLateFilter(at, this.#runTimes),
       write: (row, stored) => {
         this.commits.put(row);
         this.commits.whenCommitted(stored);
@@ -289,7 +291,7 @@
     for (const row of this.#reports.changedRows(now)) this.commits.put(row);
     this.#demandReporter.report(
       this.#activeJobs(),
-      this.driver.sessions(),
+      this.driver.sessions().map((each) => toPoolEndpoint(each, now)),
       this.#advisedSteps.requiredHosts,
     );
     if (lease.ageMs > maxCommitIntervalMs) this.commits.flush();
--- a/src/scheduler/ticket_cache.ts
+++ b/src/scheduler/ticket_cache.ts
@@ -9,7 +9,7 @@
  */
 import type { Clock } from "../clock/index.ts";
 import type { Advisor } from "../endpoint/index.ts";
-import type { DecisionLog } from "./decision_log.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
 
 /**
  * Maximum number of endpoints per request. The service takes time for each
--- a/src/scheduler/unplaced_demands.ts
+++ b/src/scheduler/unplaced_demands.ts
@@ -3,8 +3,12 @@
  * so that later steps with an equal or larger demand are skipped. Otherwise a
  * pass in an overload would examine every endpoint for every waiting step.
  */
-import type { JobSpec, Resources, StepSpec } from "../batch/index.ts";
-import { reservedResources } from "./endpoint_choice.ts";
+import {
+  type JobSpec,
+  reservedResources,
+  type Resources,
+  type StepSpec,
+} from "../batch/index.ts";
 
 /**
  * Returns whether resources alone decide where the step fits. A gang, or a step
--- a/src/service/entry_dependencies.ts
+++ b/src/service/entry_dependencies.ts
@@ -7,7 +7,7 @@
   EndpointRegistry,
   TaskOrders,
 } from "../endpoint/index.ts";
-import type { DecisionLog } from "../scheduler/index.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
 import type { Store } from "../store/index.ts";
 import type { HostControl, WaveRequests } from "../upkeep/index.ts";
 
--- a/src/telemetry/decision_writer.ts
+++ b/src/telemetry/decision_writer.ts
@@ -9,7 +9,7 @@
 import process from "node:process";
 import bunyan from "bunyan";
 import type { Clock } from "../clock/index.ts";
-import type { DecisionFields, DecisionLog } from "../scheduler/index.ts";
+import type { DecisionFields, DecisionLog } from "./decision_log.ts";
 
 /** Longest time for which lines are buffered, in ms. */
 const flushDelayMs = 50;
--- a/src/telemetry/index.ts
+++ b/src/telemetry/index.ts
@@ -1,4 +1,5 @@
 /** Logs and metrics of entries. */
+export type { DecisionFields, DecisionLog } from "./decision_log.ts";
 export { createLog, type Log, logRequest } from "./log.ts";
 export {
   createStatsdMetrics,
--- a/src/telemetry/prometheus_metrics.ts
+++ b/src/telemetry/prometheus_metrics.ts
@@ -2,7 +2,7 @@
 import { createServer, type Server } from "node:http";
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
 import type { Result } from "ts-results";
-import type { DecisionFields, DecisionLog } from "../scheduler/index.ts";
+import type { DecisionFields, DecisionLog } from "./decision_log.ts";
 import type { Store, StoreFailure } from "../store/index.ts";
 
 /** Upper bounds of the latency buckets, in seconds. */
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -3,6 +3,14 @@
  * as holder of the fleet's lease. It runs maintenance waves and moves hosts
  * between pools as demand changes.
  */
+import {
+  type HostMove,
+  planHostMoves,
+  type PoolDemand,
+  poolDemandKey,
+  poolDemandSchema,
+  type ProviderHost,
+} from "../capacity/index.ts";
 import type { CatalogHolder } from "../catalog/index.ts";
 import type { Clock } from "../clock/index.ts";
 import {
@@ -11,7 +19,7 @@
   type ShardLease,
 } from "../cluster/index.ts";
 import type { EndpointRegistry } from "../endpoint/index.ts";
-import type { DecisionLog } from "../scheduler/index.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
 import { singleKeyRange } from "../batch/index.ts";
 import {
   maxTransactionEntries,
@@ -22,19 +30,11 @@
   HostControl,
   HostOrderOutcome,
   OrderSender,
-  ProviderHost,
 } from "./host_control.ts";
 import { sendInBatches } from "./order_batches.ts";
-import {
-  type HostMove,
-  planHostMoves,
-  type PoolDemand,
-  poolDemandSchema,
-} from "./host_moves.ts";
 import {
   decodeVacate,
   fleetShard,
-  poolDemandKey,
   vacatedKey,
   vacateTable,
   waveRowKey,
--- a/src/upkeep/host_control.ts
+++ b/src/upkeep/host_control.ts
@@ -1,20 +1,6 @@
 /** Interface to the host provider: its host list and orders about hosts. */
 import type { Result } from "ts-results";
-
-/** States of a host; `upkeep`: down for maintenance. */
-export const providerHostStates = ["up", "moving", "upkeep", "down"] as const;
-/** State of a host. */
-export type ProviderHostState = typeof providerHostStates[number];
-
-/** A host as listed by the provider. */
-export interface ProviderHost {
-  readonly host: string;
-  readonly pool: string;
-  readonly state: ProviderHostState;
-  readonly zone: string;
-  /** Id of the endpoint that runs on it; empty for none. */
-  readonly endpoint: string;
-}
+import type { ProviderHost } from "../capacity/index.ts";
 
 /** Sender of an order: its entry and fencing token. */
 export interface OrderSender {
--- a/src/upkeep/index.ts
+++ b/src/upkeep/index.ts
@@ -1,13 +1,6 @@
 /** Host management by the batch entries: maintenance waves and pool moves. */
 export { type FleetDependencies, FleetOwner } from "./fleet_owner.ts";
 export * from "./host_control.ts";
-export {
-  type HostMove,
-  type HostMoveInput,
-  planHostMoves,
-  type PoolDemand,
-  poolDemandSchema,
-} from "./host_moves.ts";
 export * from "./rows.ts";
 export { sendInBatches } from "./order_batches.ts";
 export { VacateTracker } from "./vacate_tracker.ts";
--- a/src/upkeep/rows.ts
+++ b/src/upkeep/rows.ts
@@ -39,11 +39,6 @@
   return { table: "vacated", partition: shard, key: endpoint };
 }
 
-/** Key of a pool's demand; the owner of its shard writes it. */
-export function poolDemandKey(shard: string): StoreRowKey {
-  return { table: "demand", partition: shard, key: "demand" };
-}
-
 /** Key of a wave's progress; the fleet's owner writes it. */
 export function waveRowKey(wave: string): StoreRowKey {
   return { table: "waves", partition: fleetShard, key: wave };
--- a/src/upkeep/vacate_tracker.ts
+++ b/src/upkeep/vacate_tracker.ts
@@ -3,7 +3,7 @@
  * has taken down or moved, until the host listing and the store reflect it.
  */
 import type { RowPut, StoreRowKey } from "../store/index.ts";
-import type { ProviderHost } from "./host_control.ts";
+import type { ProviderHost } from "../capacity/index.ts";
 import { encodeVacate, vacateKey, type VacateState } from "./rows.ts";
 
 /**
--- a/src/upkeep/wave_plan.ts
+++ b/src/upkeep/wave_plan.ts
@@ -7,7 +7,7 @@
  * the pools, so that no pool loses many at a time. Hosts are vacated ahead of
  * their turn to be taken down.
  */
-import type { ProviderHost } from "./host_control.ts";
+import type { ProviderHost } from "../capacity/index.ts";
 
 /** A wave as requested by the operator. */
 export interface RequestedWave {
--- a/src/upkeep/wave_runner.ts
+++ b/src/upkeep/wave_runner.ts
@@ -1,9 +1,9 @@
 /** Runs the operator's maintenance waves and tracks their progress. */
 import * as v from "valibot";
 import type { Clock } from "../clock/index.ts";
-import type { DecisionLog } from "../scheduler/index.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
 import { parseJson, type RowPut, type StoreRow } from "../store/index.ts";
-import type { ProviderHost } from "./host_control.ts";
+import type { ProviderHost } from "../capacity/index.ts";
 import { waveRowKey } from "./rows.ts";
 import type { VacateTracker } from "./vacate_tracker.ts";
 import {
--- a/test/upkeep/host_moves_test.ts
+++ b/test/capacity/host_moves_test.ts
@@ -5,7 +5,7 @@
   planHostMoves,
   type PoolDemand,
   type ProviderHost,
-} from "../../src/upkeep/index.ts";
+} from "../../src/capacity/index.ts";
 
 const pools = [
   { name: "quotes", standby: false },
--- a/test/scheduler/host_offers_test.ts
+++ b/test/capacity/host_offers_test.ts
@@ -1,16 +1,22 @@
 /** Tests offers of empty endpoints, including those of an earlier owner. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { HostOffers } from "../../src/scheduler/host_offers.ts";
-import { openSession } from "./sessions.ts";
+import { HostOffers, type PoolEndpoint } from "../../src/capacity/index.ts";
 
-const sessions = ["a", "b", "c"].map((id) => openSession(id));
+const endpoints = ["a", "b", "c"].map((id): PoolEndpoint => ({
+  id,
+  capacity: { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 },
+  isOpen: true,
+  runCount: 0,
+  hasLongRunningRuns: false,
+  silentMs: 0,
+}));
 
 describe("host offers", () => {
   describe("when the pool needs fewer hosts", () => {
     it("offers surplus endpoints and closes them to tasks", () => {
       const offers = new HostOffers();
-      offers.adjust(sessions, 2);
+      offers.adjust(endpoints, 2);
       assert.equal(offers.offered.length, 1);
       assert.equal(offers.isClosed(offers.offered[0], 0), true);
     });
@@ -19,9 +25,9 @@
   describe("when the need rises while endpoints are offered", () => {
     it("reopens them only some time after the withdrawal is stored", () => {
       const offers = new HostOffers();
-      offers.adjust(sessions, 2);
+      offers.adjust(endpoints, 2);
       const [id] = offers.offered;
-      offers.adjust(sessions, 3);
+      offers.adjust(endpoints, 3);
       assert.deepEqual(offers.offered, []);
       assert.equal(offers.isClosed(id, 10_000), true);
       offers.confirmStored(10_000);
--- a/test/upkeep/fleet_owner_test.ts
+++ b/test/upkeep/fleet_owner_test.ts
@@ -4,14 +4,13 @@
 import { Ok } from "ts-results";
 import { ModelStore } from "../../sim/model_store.ts";
 import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
+import { poolDemandKey, type ProviderHost } from "../../src/capacity/index.ts";
 import { CatalogHolder } from "../../src/catalog/index.ts";
 import { EndpointRegistry } from "../../src/endpoint/index.ts";
 import {
   FleetOwner,
   fleetShard,
   type HostControl,
-  poolDemandKey,
-  type ProviderHost,
 } from "../../src/upkeep/index.ts";
 import { acquireLease } from "../cluster/acquire_lease.ts";
 
--- a/test/upkeep/wave_plan_test.ts
+++ b/test/upkeep/wave_plan_test.ts
@@ -1,9 +1,9 @@
 /** Tests the planning of a maintenance wave. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import type { ProviderHost } from "../../src/capacity/index.ts";
 import {
   planWaveActions,
-  type ProviderHost,
   requiredParallel,
   type WaveProgress,
 } from "../../src/upkeep/index.ts";
