Keep spare capacity in a pool instead of two spare hosts

Meanwhile each of the three quiet pools kept two spare hosts on top of the hosts that its spread long-running tasks need anyway, which were nearly empty (44 of 192 cores used).

Now the spare is capacity of one host in the sum of CPU and memory; the free cores of hosts that only spread tasks count towards it.

--- a/src/capacity/host_demand.ts
+++ b/src/capacity/host_demand.ts
@@ -20,8 +20,8 @@
 /** Share of a host that tasks can fill; the rest is lost to fragmentation. */
 const maxFillShare = 0.85;
 
-/** Spare hosts that a pool keeps for the next jobs. */
-const spareHosts = 2;
+/** Free capacity that a pool keeps for the next jobs, in hosts. */
+const spareHosts = 1;
 
 /** Minimum number of hosts of a pool. */
 const minHosts = 2;
@@ -65,9 +65,10 @@
 }
 
 /**
- * Returns the number of hosts that a shard needs. `arrivingCpuMillis` is the
- * forecast of arriving work, in thousandths of a core. Before an endpoint has
- * registered, the capacity of a host is unknown and only spreading counts.
+ * Returns the number of hosts that a shard needs. Hosts that are needed only to
+ * spread tasks have free capacity, which counts as spare. `arrivingCpuMillis` is
+ * the forecast of arriving work, in thousandths of a core. Before an endpoint
+ * has registered, the capacity of a host is unknown and only spreading counts.
  */
 export function computeHostDemand(
   jobs: readonly PoolJob[],
@@ -79,10 +80,12 @@
   const capacity = endpoints[0]?.capacity;
   const spreadHosts = minEndpointsForSpread(jobs);
   if (capacity === undefined) return Math.max(minHosts, spreadHosts);
-  const cpu = Math.max(requested.cpuMillis, arrivingCpuMillis);
+  const spare = multiplyResources(capacity, spareHosts);
+  const cpu = Math.max(requested.cpuMillis, arrivingCpuMillis) +
+    spare.cpuMillis;
+  const memory = requested.memoryMb + spare.memoryMb;
   const hostsForCpu = cpu / Math.max(1, capacity.cpuMillis * maxFillShare);
-  const hostsForMemory = requested.memoryMb /
-    Math.max(1, capacity.memoryMb * maxFillShare);
-  const needed = Math.ceil(Math.max(hostsForCpu, hostsForMemory, spreadHosts));
-  return Math.max(minHosts, needed + spareHosts);
+  const hostsForMemory = memory / Math.max(1, capacity.memoryMb * maxFillShare);
+  const needed = Math.max(hostsForCpu, hostsForMemory, spreadHosts);
+  return Math.max(minHosts, Math.ceil(needed));
 }
