--- /dev/null
+++ b/src/scheduler/run_recorder.ts
@@ -0,0 +1,101 @@
+/** Records confirmed and ended runs in the progress of their jobs. */
+import {
+  isFinal,
+  markJobRunning,
+  recordRunEnd,
+  type RunEnd,
+  taskAt,
+  taskName,
+  type TaskRef,
+} from "../batch/index.ts";
+import type { Clock } from "../clock/index.ts";
+import type { DecisionLog } from "../telemetry/index.ts";
+import type { Run } from "./endpoint_session.ts";
+import type { JobRegistry } from "./job_registry.ts";
+import type { RunTimes } from "./run_times.ts";
+
+/** Dependencies of a {@link RunRecorder}. */
+export interface RunRecorderDependencies {
+  readonly shard: string;
+  readonly clock: Clock;
+  readonly log: DecisionLog;
+  readonly jobs: JobRegistry;
+  readonly runTimes: RunTimes;
+  /** Stops all runs of a job. */
+  readonly stopJob: (job: string) => void;
+  /** Stops the runs of a task other than `run`. */
+  readonly stopOtherRuns: (job: string, ref: TaskRef, run: number) => void;
+  /** Called after the end of a run, which may free resources. */
+  readonly onEnd: () => void;
+}
+
+/** Records what becomes of the runs of one shard. */
+export class RunRecorder {
+  constructor(private readonly deps: RunRecorderDependencies) {}
+
+  /**
+   * Whether a run is still wanted: its job is not final, and its task has this
+   * run.
+   */
+  mayStart(run: Run): boolean {
+    const job = this.deps.jobs.byId.get(run.job);
+    if (job === undefined || isFinal(job.progress.phase)) return false;
+    return taskAt(job.progress, run.ref)?.placement?.run === run.run;
+  }
+
+  /**
+   * Marks the job of a confirmed run as running. This needs no commit of its
+   * own: the next write of the job stores it.
+   */
+  recordConfirmed(run: Run): void {
+    const job = this.deps.jobs.byId.get(run.job);
+    if (job !== undefined) job.progress = markJobRunning(job.progress);
+  }
+
+  /** Records the end of a tracked run, or the loss of an orphan run. */
+  recordTrackedEnd(run: Run, end: RunEnd, checkpoint: string): void {
+    if (end === "done") this.#recordRunTime(run);
+    const { job, ref, checkpoint: lastCheckpoint } = run;
+    this.recordEnd(job, ref, run.run, end, checkpoint || lastCheckpoint);
+  }
+
+  /** Records the end of a run in the progress of its job. */
+  recordEnd(
+    id: string,
+    ref: TaskRef,
+    run: number,
+    end: RunEnd,
+    checkpoint: string,
+  ): void {
+    const { clock, log, shard, jobs } = this.deps;
+    const job = jobs.byId.get(id);
+    if (job === undefined) return;
+    const { spec, progress } = job;
+    const placement = taskAt(progress, ref)?.placement;
+    if (end === "failed" && placement?.run === run) {
+      jobs.recordFailure(job, ref, placement.endpoint);
+    }
+    const next = recordRunEnd(progress, spec, ref, run, end, checkpoint);
+    jobs.update(job, next, clock.now());
+    log.decision("task-ended", {
+      job: id,
+      task: taskName(id, ref),
+      run,
+      end,
+      shard,
+      phase: next.phase,
+      known: placement?.run === run,
+    });
+    if (isFinal(next.phase)) this.deps.stopJob(id);
+    else if (end === "done") this.deps.stopOtherRuns(id, ref, run);
+    this.deps.onEnd();
+  }
+
+  /** Adds the duration of a run to the run time statistics of its queue. */
+  #recordRunTime({ job, step, startSentAt }: Run): void {
+    const { clock, jobs, runTimes } = this.deps;
+    const queue = jobs.byId.get(job)?.spec.queue;
+    if (queue === undefined || startSentAt === undefined) return;
+    runTimes.record(queue, step, clock.now() - startSentAt);
+  }
+}
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -13,18 +13,12 @@
   inboxKey,
   inboxTable,
   isFinal,
-  markJobRunning,
   placedTasks,
   progressKey,
   progressRange,
   readySteps,
-  recordRunEnd,
-  type RunEnd,
   runTimesKey,
   singleKeyRange,
-  taskAt,
-  taskName,
-  type TaskRef,
 } from "../batch/index.ts";
 import type { CommitFailure } from "../cluster/index.ts";
 import {
@@ -35,10 +29,10 @@
 } from "../store/index.ts";
 import { DemandReporter, poolDemandKey } from "../capacity/index.ts";
 import { AdvisedSteps } from "./advised_steps.ts";
+import { RunRecorder } from "./run_recorder.ts";
 import { RunSupervisor } from "./run_supervisor.ts";
 import { CommitQueue } from "./commit_queue.ts";
 import { EndpointDriver } from "./endpoint_driver.ts";
-import type { Run } from "./endpoint_session.ts";
 import { JobRegistry, type TrackedJob } from "./job_registry.ts";
 import { createLateFilter } from "./late_filter.ts";
 import { toPoolEndpoint } from "./pool_endpoint.ts";
@@ -79,6 +73,7 @@
   /** Sessions and runs at the endpoints of the shard. */
   readonly driver: EndpointDriver;
   readonly #supervisor: RunSupervisor;
+  readonly #recorder: RunRecorder;
   readonly #actors: ActorSystem;
   readonly #inbox: TableWatch;
   #unsubscribe: () => void = () => {};
@@ -124,14 +119,23 @@
       encodeCounts: () => JSON.stringify(this.jobs.waitingByQueue()),
       encodeRunTimes: () => this.#runTimes.encode(),
     });
+    this.#recorder = new RunRecorder({
+      ...deps,
+      jobs: this.jobs,
+      runTimes: this.#runTimes,
+      stopJob: (job) => this.driver.stopJob(job),
+      stopOtherRuns: (job, ref, run) =>
+        this.driver.stopOtherRuns(job, ref, run),
+      onEnd: () => this.requestPass(),
+    });
     this.driver = new EndpointDriver({
       ...deps,
       onRunEnded: (run, end, checkpoint) =>
-        this.#runEnded(run, end, checkpoint),
+        this.#recorder.recordTrackedEnd(run, end, checkpoint),
       onUntrackedRunEnded: (job, ref, run, end, checkpoint) =>
-        this.#applyEnd(job, ref, run, end, checkpoint),
-      mayStart: (run) => this.#mayStart(run),
-      onRunConfirmed: (run) => this.#runConfirmed(run),
+        this.#recorder.recordEnd(job, ref, run, end, checkpoint),
+      mayStart: (run) => this.#recorder.mayStart(run),
+      onRunConfirmed: (run) => this.#recorder.recordConfirmed(run),
       takenDownEndpoints: () => this.#takenDownEndpoints(),
       onTicketRejected: (run, session) =>
         this.#advisedSteps.recordRejection(run, session),
@@ -299,88 +303,12 @@
     return Promise.resolve(tickPeriodMs);
   }
 
-  /**
-   * Whether a run is still wanted: its job is not final, and its task has this
-   * run.
-   */
-  #mayStart(run: Run): boolean {
-    const job = this.jobs.byId.get(run.job);
-    if (job === undefined || isFinal(job.progress.phase)) return false;
-    return taskAt(job.progress, run.ref)?.placement?.run === run.run;
-  }
-
-  /**
-   * Marks a job as running. This needs no commit of its own: the next write of
-   * the job stores it.
-   */
-  #runConfirmed(run: Run): void {
-    const job = this.jobs.byId.get(run.job);
-    if (job !== undefined) job.progress = markJobRunning(job.progress);
-  }
-
   /** Ids of the endpoints whose host has been taken down. */
   #takenDownEndpoints(): ReadonlySet<string> {
     const down = [...this.deps.vacating()].filter(([, s]) => s === "down");
     return new Set(down.map(([id]) => id));
   }
 
-  /** Handles the end of a tracked run, or the loss of an orphan run. */
-  #runEnded(run: Run, end: RunEnd, checkpoint: string): void {
-    if (end === "done") this.#recordRunTime(run);
-    this.#applyEnd(
-      run.job,
-      run.ref,
-      run.run,
-      end,
-      checkpoint || run.checkpoint,
-    );
-  }
-
-  /** Adds the duration of a run to the run time statistics of its queue. */
-  #recordRunTime({ job, step, startSentAt }: Run): void {
-    const queue = this.jobs.byId.get(job)?.spec.queue;
-    if (queue === undefined || startSentAt === undefined) return;
-    this.#runTimes.record(queue, step, this.deps.clock.now() - startSentAt);
-  }
-
-  /** Records the end of a run in the progress of its job. */
-  #applyEnd(
-    id: string,
-    ref: TaskRef,
-    run: number,
-    end: RunEnd,
-    checkpoint: string,
-  ): void {
-    const job = this.jobs.byId.get(id);
-    if (job === undefined) return;
-    const { clock, log, shard } = this.deps;
-    const placement = taskAt(job.progress, ref)?.placement;
-    if (end === "failed" && placement?.run === run) {
-      this.jobs.recordFailure(job, ref, placement.endpoint);
-    }
-    const next = recordRunEnd(
-      job.progress,
-      job.spec,
-      ref,
-      run,
-      end,
-      checkpoint,
-    );
-    this.jobs.update(job, next, clock.now());
-    log.decision("task-ended", {
-      job: id,
-      task: taskName(id, ref),
-      run,
-      end,
-      shard,
-      phase: next.phase,
-      known: placement?.run === run,
-    });
-    if (isFinal(next.phase)) this.driver.stopJob(id);
-    else if (end === "done") this.driver.stopOtherRuns(id, ref, run);
-    this.requestPass();
-  }
-
   /**
    * Removes jobs, and their rows, {@link finalJobRetentionMs} after they are
    * final.
