Reject submissions at once while the store is silent

Cause: the breaker counted failed calls. A store that is silent fails none before its timeout of 1.8 s, so for that time each entry took in requests that it could not store, and each caller waited until its time limit.

Now the breaker also opens while a commit or a read waits, without an answer to any other, for 0.5 s and for three times the mean duration of the answered calls; so a slow store does not count as silent.

The first new test fails on the code before (3,000 ms until an answer).

--- a/src/store/breaker.ts
+++ b/src/store/breaker.ts
@@ -3,6 +3,10 @@
  * this entry for a while, so that requests that cannot be stored are rejected
  * at once.
  *
+ * A store that refuses calls shows in failed calls. One that is silent fails
+ * none of them before its timeout, so the breaker also opens while calls wait
+ * for much longer than the answers before took.
+ *
  * It only reports its state and blocks no calls. While it is open, the followed
  * tables are still polled a few times a second, and the first answered call
  * closes it.
@@ -25,6 +29,24 @@
 /** Consecutive failures that are required in addition. */
 const minFailures = 4;
 
+/**
+ * Shortest time without an answer, in ms, after which a store with waiting
+ * calls counts as silent.
+ */
+const minUnansweredMs = 500;
+
+/** The same time as a multiple of the mean duration of the answered calls. */
+const unansweredPerMeanDuration = 3;
+
+/** Weight of the latest call in the mean duration of the answered calls. */
+const meanDurationWeight = 0.1;
+
+/** A commit or a read that waits for its answer. */
+interface WaitingCall {
+  /** Monotonic time in ms. */
+  readonly sentAt: number;
+}
+
 /** Details of a change between open and closed. */
 export interface BreakerChange {
   readonly isOpen: boolean;
@@ -39,6 +61,10 @@
   #failures = 0;
   #answeredAt: number;
   #wasOpen = false;
+  /** Waiting commits and reads, the oldest first. */
+  readonly #waiting = new Set<WaitingCall>();
+  /** Moving mean of the duration of answered commits and reads, in ms. */
+  #meanDurationMs = 0;
 
   constructor(
     private readonly store: Store,
@@ -48,20 +74,24 @@
     this.#answeredAt = clock.now();
   }
 
-  /** Whether several calls in a row have failed over the minimum time. */
+  /**
+   * Whether several calls in a row have failed over the minimum time, or calls
+   * wait in vain.
+   */
   get isOpen(): boolean {
-    return this.#failures >= minFailures &&
-      this.clock.now() - this.#answeredAt > minSilenceMs;
+    const silentMs = this.clock.now() - this.#answeredAt;
+    const isFailing = this.#failures >= minFailures && silentMs > minSilenceMs;
+    return isFailing || this.#isSilent;
   }
 
-  async commit(
+  commit(
     tx: StoreTransaction,
   ): Promise<Result<StoreCommitOutcome, StoreFailure>> {
-    return this.record(await this.store.commit(tx));
+    return this.#timed(() => this.store.commit(tx));
   }
 
-  async range(query: RangeQuery): Promise<Result<RangeResult, StoreFailure>> {
-    return this.record(await this.store.range(query));
+  range(query: RangeQuery): Promise<Result<RangeResult, StoreFailure>> {
+    return this.#timed(() => this.store.range(query));
   }
 
   async feed(
@@ -89,6 +119,38 @@
     return outcome;
   }
 
+  /**
+   * Whether a call has waited, without an answer to any other, for much longer
+   * than calls take. Feeds are left out, because they wait for changes.
+   */
+  get #isSilent(): boolean {
+    const [oldest] = this.#waiting;
+    if (oldest === undefined) return false;
+    const since = Math.max(oldest.sentAt, this.#answeredAt);
+    const limitMs = Math.max(
+      minUnansweredMs,
+      unansweredPerMeanDuration * this.#meanDurationMs,
+    );
+    return this.clock.now() - since > limitMs;
+  }
+
+  /** Makes a commit or a read, tracks it while it waits, and records it. */
+  async #timed<T>(
+    call: () => Promise<Result<T, StoreFailure>>,
+  ): Promise<Result<T, StoreFailure>> {
+    const waiting = { sentAt: this.clock.now() };
+    this.#reportChange(waiting.sentAt - this.#answeredAt, "no answer");
+    this.#waiting.add(waiting);
+    const outcome = await call();
+    this.#waiting.delete(waiting);
+    if (outcome.ok) this.#addDuration(this.clock.now() - waiting.sentAt);
+    return this.record(outcome);
+  }
+
+  #addDuration(ms: number): void {
+    this.#meanDurationMs += meanDurationWeight * (ms - this.#meanDurationMs);
+  }
+
   /** Calls the listener if the breaker has opened or closed. */
   #reportChange(silentMs: number, message: string): void {
     const { isOpen } = this;
--- a/test/intake/intake_test.ts
+++ b/test/intake/intake_test.ts
@@ -88,6 +88,27 @@
     });
   });
 
+  // Guards against requests that are taken in while the store is silent: the
+  // breaker saw no failure before their timeout, and callers waited in vain.
+  describe("while the store is silent", () => {
+    it("is rejected immediately once calls wait for half a second", async () => {
+      await poll(5);
+      model.setBehavior(entry, "silent");
+      await poll(4);
+      const { code, ms } = await submit(1);
+      assert.equal(code, codes.recordUnavailable.code);
+      assert.ok(ms <= 10, `${ms} ms`);
+    });
+
+    it("is accepted again once the store answers", async () => {
+      model.setBehavior(entry, "silent");
+      await poll(4);
+      model.setBehavior(entry, "serves");
+      await poll(1);
+      assert.equal((await submit(2)).code, 0);
+    });
+  });
+
   describe("when a single store call has failed", () => {
     it("is accepted as soon as the store serves again", async () => {
       model.setBehavior(entry, "refuses");
