--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -18,6 +18,7 @@
   deferRank,
   occurrenceTimes,
   rankAt,
+  remainingChainsMs,
 } from "./task_order.ts";
 export { computePaceChanges, highestLatencyRatio } from "./filler_pace.ts";
 export {
--- a/test/scheduler/task_order_test.ts
+++ b/test/scheduler/task_order_test.ts
@@ -1,11 +1,12 @@
 /** Tests the order in which waiting tasks are placed. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { makeJob } from "../../sim/jobs.ts";
+import { makeJob, plainStep } from "../../sim/jobs.ts";
 import {
   compareRanks,
   occurrenceTimes,
   rankAt,
+  remainingChainsMs,
 } from "../../src/scheduler/index.ts";
 
 const job = makeJob(1, "chain", "quotes", 0);
@@ -59,3 +60,24 @@
     });
   });
 });
+
+describe("the time from a step's start to the end of its chain", () => {
+  const durationsMs = [100, 300, 200, 50];
+  const chainsMs = (after: readonly (readonly number[])[]) =>
+    remainingChainsMs(
+      after.map((dependencies) => plainStep(1, dependencies)),
+      (_, i) => durationsMs[i],
+    );
+
+  it("adds up the steps of a sequence", () => {
+    assert.deepEqual(chainsMs([[], [0], [1], [2]]), [650, 550, 250, 50]);
+  });
+
+  it("follows the longest of several branches", () => {
+    assert.deepEqual(chainsMs([[], [0], [0], [1, 2]]), [450, 350, 250, 50]);
+  });
+
+  it("is the step's own time without dependent steps", () => {
+    assert.deepEqual(chainsMs([[], [], [], []]), durationsMs);
+  });
+});
