Do not count vacated endpoints when surplus hosts are offered

Cause: the fleet's owner replaces hosts that are vacated for maintenance, but the pool's owner still counted these as open. So the hosts that came in their place were surplus, were offered and closed, and went back to standby, while the tasks of the vacated ones waited. The two spare hosts of a pool hid that; with spare capacity in their place, test/sim/wave_pace_test.ts fails: hosts moved to the pool and back six times in one wave of three.

Now a vacated endpoint is not open for the demand.

--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -27,7 +27,11 @@
   type StoreRowChange,
   TableWatch,
 } from "../store/index.ts";
-import { DemandReporter, poolDemandKey } from "../capacity/index.ts";
+import {
+  DemandReporter,
+  poolDemandKey,
+  type PoolEndpoint,
+} from "../capacity/index.ts";
 import { AdvisedSteps } from "./advised_steps.ts";
 import { RunRecorder } from "./run_recorder.ts";
 import { RunSupervisor } from "./run_supervisor.ts";
@@ -295,7 +299,7 @@
     for (const row of this.#reports.changedRows(now)) this.commits.put(row);
     this.#demandReporter.report(
       this.#activeJobs(),
-      this.driver.sessions().map((each) => toPoolEndpoint(each, now)),
+      this.#poolEndpoints(now),
       this.#advisedSteps.requiredHosts,
     );
     if (lease.ageMs > maxCommitIntervalMs) this.commits.flush();
@@ -303,6 +307,14 @@
     return Promise.resolve(tickPeriodMs);
   }
 
+  /** The endpoints of the pool, for its demand for hosts. */
+  #poolEndpoints(now: number): readonly PoolEndpoint[] {
+    const vacating = this.deps.vacating();
+    return this.driver.sessions().map((session) =>
+      toPoolEndpoint(session, vacating.has(session.endpoint.id), now)
+    );
+  }
+
   /** Ids of the endpoints whose host has been taken down. */
   #takenDownEndpoints(): ReadonlySet<string> {
     const down = [...this.deps.vacating()].filter(([, s]) => s === "down");
