Count tasks that this owner has started as available on a new endpoint

Cause: a task counted as available only once its endpoint had answered a hold that was sent a second after it confirmed the term, as an earlier owner's stop may be under way before that. On a host that has just come, each move of a wave waited for that, 2.6 s in test/sim/wave_pace_test.ts where 1 s is the bound. No earlier owner can have ordered a stop of a run that this owner has started: its number did not exist then. So the wait is only for runs that were taken over.

--- a/src/scheduler/availability.ts
+++ b/src/scheduler/availability.ts
@@ -49,6 +49,15 @@
   return session.listsAge(now) <= maxListsAgeMs;
 }
 
+/**
+ * Returns whether an earlier owner may have ordered a stop of a run that the
+ * endpoint still lists as running. It can't have done so for a run that this
+ * owner has started.
+ */
+function mayBeStopping(session: EndpointSession, run: Run): boolean {
+  return run.startSentAt === undefined && !session.isClearOfEarlierStops;
+}
+
 /** Returns whether a task is known to be fully up. */
 function isAvailable(
   job: TrackedJob,
@@ -61,7 +70,7 @@
   const session = find(placement.endpoint);
   const run = session?.find(taskName(job.spec.id, ref), placement.run);
   if (session === undefined || run === undefined) return false;
-  if (!isUpToDate(session, now) || !session.isClearOfEarlierStops) return false;
+  if (!isUpToDate(session, now) || mayBeStopping(session, run)) return false;
   return run.phase === "running" && run.percent === fullyUpPercent;
 }
 
