--- a/src/store/breaker.ts
+++ b/src/store/breaker.ts
@@ -76,7 +76,7 @@
 
   /**
    * Whether several calls in a row have failed over the minimum time, or calls
-   * wait in vain.
+   * wait for too long without an answer.
    */
   get isOpen(): boolean {
     const silentMs = this.clock.now() - this.#answeredAt;
--- a/test/capacity/host_demand_test.ts
+++ b/test/capacity/host_demand_test.ts
@@ -34,8 +34,8 @@
 }
 
 describe("the demand of a pool for hosts", () => {
-  // Guards against spare hosts beside hosts that are nearly empty: quiet pools
-  // with a few spread tasks kept them while another pool was overloaded.
+  // Guards against spare hosts beside hosts with free cores: quiet pools kept
+  // them while another pool was overloaded.
   it("counts the free cores of hosts that only spread tasks as spare", () => {
     assert.equal(hostsFor([spreadStep]), 3);
   });
--- a/test/intake/intake_test.ts
+++ b/test/intake/intake_test.ts
@@ -89,7 +89,7 @@
   });
 
   // Guards against requests that are taken in while the store is silent: the
-  // breaker saw no failure before their timeout, and callers waited in vain.
+  // breaker saw no failure before their timeout, and callers got no answer.
   describe("while the store is silent", () => {
     it("is rejected immediately once calls wait for half a second", async () => {
       await poll(5);
--- a/test/scheduler/pool_overload_test.ts
+++ b/test/scheduler/pool_overload_test.ts
@@ -22,8 +22,8 @@
     assert.ok(share > 0.95, `${share}`);
   });
 
-  // Guards against the domino effect of a queue without preemption: every task
-  // starts just after its latest start, since late tasks occupy the cores.
+  // Guards against a queue in which every task starts just after its latest
+  // start, because late tasks, which are not preempted, occupy the cores.
   describe("whose work is a multiple of its capacity", () => {
     it("earns over 0.42 of the benefit at twice its capacity", () => {
       const share = meanBenefitShare({ ...pool, overload: 2 });
