Log sessions of endpoints, and what is known of a run that is given up

What callers saw: tasks that ran twice; the logs did not tell whether their first run had been given up by a rejected order, with the end of a session, or with an expired lease, nor whether its order was still in flight. Sessions now write a line at their beginning and end with the incarnation, run-over the phase of the run and its age, and ends and stops of runs that are not tracked say which run of the task was tracked meanwhile. No logic is changed.

--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -13,6 +13,7 @@
   type TaskRef,
 } from "../batch/index.ts";
 import type { TaskEndpoint } from "../endpoint/index.ts";
+import type { DecisionFields } from "../telemetry/index.ts";
 import {
   type DriverDependencies,
   logRunDecision,
@@ -35,6 +36,16 @@
  */
 const endedIncarnation = -1;
 
+/** Number of runs whose start order is in flight. */
+function countStarting({ runs }: EndpointSession): number {
+  return [...runs.values()].filter((r) => r.phase === "starting").length;
+}
+
+/** A time in whole ms for the log; undefined if it is unbounded. */
+function finiteMs(ms: number): number | undefined {
+  return Number.isFinite(ms) ? Math.round(ms) : undefined;
+}
+
 /** Manages the sessions and runs at the endpoints of one shard. */
 export class EndpointDriver implements SessionControl {
   /** Sends the orders that start, stop and pace runs. */
@@ -154,7 +165,11 @@
     session.remove(run);
     this.#runIndex.remove(run);
     if (end !== "done") {
-      logRunDecision(this.deps, "run-over", session, run, `${end}: ${reason}`);
+      const { phase, phaseChangedAt } = run;
+      const phaseMs = Math.round(this.deps.clock.now() - phaseChangedAt);
+      const logFields = { life: session.endpoint.life, phase, phaseMs };
+      const outcome = `${end}: ${reason}`;
+      logRunDecision(this.deps, "run-over", session, run, outcome, logFields);
     }
     this.deps.onRunEnded(run, end, checkpoint);
   }
@@ -162,6 +177,12 @@
   endSession(session: EndpointSession, reason: string): void {
     if (session.closed) return;
     session.closed = true;
+    this.#logSession("session-ended", session, {
+      reason,
+      runs: session.runs.size,
+      starting: countStarting(session),
+      listsAgeMs: finiteMs(session.listsAge(this.deps.clock.now())),
+    });
     for (const run of [...session.runs.values()]) {
       this.finishRun(session, run, "lost", reason);
     }
@@ -201,9 +222,22 @@
       const run = this.#createRun(spec, ref, placement.run, "doubtful", "");
       this.#addRun(session, run);
     }
+    this.#logSession("session-opened", session, { adopted: adopted.length });
     this.#holds.holdUntilClosed(session);
   }
 
+  /** Logs that the session of an incarnation was opened or ended. */
+  #logSession(
+    event: string,
+    { endpoint }: EndpointSession,
+    fields: DecisionFields,
+  ): void {
+    const { log, shard, lease } = this.deps;
+    const { id, life } = endpoint;
+    const { term } = lease;
+    log.decision(event, { ...fields, shard, term, endpoint: id, life });
+  }
+
   #createRun(
     spec: JobSpec,
     ref: TaskRef,
--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -216,9 +216,28 @@
     const parsed = parseTaskName(task);
     if (parsed === undefined) return;
     const { job, ref } = parsed;
+    this.#logUntrackedEnd(session, ended);
     this.deps.onUntrackedRunEnded(job, ref, runNumber, end, checkpoint);
   }
 
+  /** Logs the end of a run that the session does not track. */
+  #logUntrackedEnd(session: EndpointSession, ended: EndedTask): void {
+    const { log, shard, lease } = this.deps;
+    const { task, run, end } = ended;
+    const { id, life } = session.endpoint;
+    const trackedRun = session.runs.get(task)?.run;
+    log.decision("untracked-run-ended", {
+      shard,
+      term: lease.term,
+      task,
+      run,
+      end,
+      endpoint: id,
+      life,
+      trackedRun,
+    });
+  }
+
   /**
    * Waits until the ends up to `seq` are committed, at most {@link holdWaitMs}.
    * The next hold tells the endpoint which ends are committed, so that it may
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -183,6 +183,8 @@
     run: number,
   ): Promise<void> {
     const { orders, lease, log, shard } = this.deps;
+    const { id, life } = session.endpoint;
+    const trackedRun = session.runs.get(task)?.run;
     const outcome = await orders.stop(session.endpoint, {
       term: lease.term,
       task,
@@ -190,9 +192,12 @@
     });
     log.decision("foreign-run-stopped", {
       shard,
+      term: lease.term,
       task,
       run,
-      endpoint: session.endpoint.id,
+      endpoint: id,
+      life,
+      trackedRun,
       outcome: outcome.kind,
     });
   }
--- a/src/scheduler/run_recorder.ts
+++ b/src/scheduler/run_recorder.ts
@@ -2,6 +2,7 @@
 import {
   isFinal,
   markJobRunning,
+  type Placement,
   recordRunEnd,
   type RunEnd,
   taskAt,
@@ -9,7 +10,7 @@
   type TaskRef,
 } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
-import type { DecisionLog } from "../telemetry/index.ts";
+import type { DecisionFields, DecisionLog } from "../telemetry/index.ts";
 import type { Run } from "./endpoint_session.ts";
 import type { JobRegistry } from "./job_registry.ts";
 import type { RunTimes } from "./run_times.ts";
@@ -29,6 +30,18 @@
   readonly onEnd: () => void;
 }
 
+/**
+ * Log fields about the run that a task is placed as, if it is not `run`: a run
+ * that has ended although its task had been placed again.
+ */
+function otherRunFields(
+  run: number,
+  placement: Placement | undefined,
+): DecisionFields {
+  if (placement === undefined || placement.run === run) return {};
+  return { placedRun: placement.run, placedOn: placement.endpoint };
+}
+
 /** Records what becomes of the runs of one shard. */
 export class RunRecorder {
   constructor(private readonly deps: RunRecorderDependencies) {}
@@ -85,6 +98,7 @@
       shard,
       phase: next.phase,
       known: placement?.run === run,
+      ...otherRunFields(run, placement),
     });
     if (isFinal(next.phase)) this.deps.stopJob(id);
     else if (end === "done") this.deps.stopOtherRuns(id, ref, run);
--- a/src/telemetry/decision_writer.ts
+++ b/src/telemetry/decision_writer.ts
@@ -31,6 +31,7 @@
   "job-put-off",
   "caller-answered",
   "run-over",
+  "untracked-run-ended",
 ]);
 
 /** Options of a `DecisionWriter`. */
