Adopt a listed run that is not tracked instead of starting its task again

What callers saw: tasks that must run once ran twice at one endpoint, several of them at the same instant, both runs ordered by the same owner. Cause: an owner that had given up runs (here because the registration of their endpoint named another incarnation for 400 ms) and then found them in the endpoint's lists sent stops for them, but took their tasks as free to start and the endpoint as empty: the next pass started the tasks there, while the first runs were at work or being stopped. A start that is not sent yet is withdrawn for it. Whatever made the owner give up a run, the lists of its endpoint now have the last word. Gangs run only as a whole; their listed runs are stopped as before.

--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -164,6 +164,25 @@
   return withTask(p, ref, placed);
 }
 
+/**
+ * Records that a run of a waiting task is in progress although no placement
+ * says so, because its endpoint lists it. A placement of the same run is
+ * replaced. Returns undefined if the task is not to run, or is placed as another
+ * run.
+ */
+export function adoptRun(
+  p: JobProgress,
+  ref: TaskRef,
+  placement: Placement,
+): JobProgress | undefined {
+  const task = taskAt(p, ref);
+  if (isFinal(p.phase) || task === undefined || task.done) return undefined;
+  const placedRun = task.placement?.run ?? placement.run;
+  if (placedRun !== placement.run) return undefined;
+  const lastRun = Math.max(task.lastRun, placement.run);
+  return withTask(p, ref, { ...task, lastRun, placement });
+}
+
 /** Moves a queued job to `running`; called when an endpoint confirms a run. */
 export function markJobRunning(p: JobProgress): JobProgress {
   return p.phase === "queued" ? { ...p, phase: "running" } : p;
--- a/src/scheduler/driver_dependencies.ts
+++ b/src/scheduler/driver_dependencies.ts
@@ -2,14 +2,18 @@
  * Dependencies and callbacks of the modules that send orders to the endpoints
  * of a shard. An order is a request to an endpoint: start, stop, pace or hold.
  */
-import type { RunEnd, TaskRef } from "../batch/index.ts";
+import type { JobSpec, Placement, RunEnd, TaskRef } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import {
   memberLeaseMs,
   type PreviousOwner,
   type ShardLease,
 } from "../cluster/index.ts";
-import type { EndpointRegistry, TaskOrders } from "../endpoint/index.ts";
+import type {
+  EndpointRegistry,
+  RunningTask,
+  TaskOrders,
+} from "../endpoint/index.ts";
 import type { DecisionFields, DecisionLog } from "../telemetry/index.ts";
 import {
   answerDeliveryMs,
@@ -68,6 +72,15 @@
    * this run.
    */
   mayStart(run: Run): boolean;
+  /**
+   * Called when an endpoint lists a run that is not tracked. Records it as the
+   * task's placement and returns its job; undefined if it is not wanted.
+   */
+  adoptPlacement(
+    job: string,
+    ref: TaskRef,
+    placement: Placement,
+  ): JobSpec | undefined;
   /** Called when an endpoint has confirmed that a run is in progress. */
   onRunConfirmed(run: Run): void;
   /** Called when an endpoint has rejected the ticket of a run. */
@@ -95,6 +108,11 @@
     reason: string,
     checkpoint?: string,
   ): void;
+  /**
+   * Tracks a run that an endpoint lists as running, if its task is to run and
+   * has no other run; returns whether it does.
+   */
+  adoptListedRun(session: EndpointSession, listed: RunningTask): boolean;
   /** Ends a session; its remaining runs end as lost. */
   endSession(session: EndpointSession, reason: string): void;
   /**
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -7,12 +7,13 @@
  */
 import {
   type JobSpec,
+  parseTaskName,
   type Placement,
   type RunEnd,
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
-import type { TaskEndpoint } from "../endpoint/index.ts";
+import type { RunningTask, TaskEndpoint } from "../endpoint/index.ts";
 import type { DecisionFields } from "../telemetry/index.ts";
 import {
   type DriverDependencies,
@@ -174,6 +175,33 @@
     this.deps.onRunEnded(run, end, checkpoint);
   }
 
+  adoptListedRun(session: EndpointSession, listed: RunningTask): boolean {
+    const parsed = parseTaskName(listed.task);
+    if (parsed === undefined) return false;
+    const { job, ref } = parsed;
+    this.#withdrawIntendedRun(job, listed);
+    const { id, life } = session.endpoint;
+    const placement = { run: listed.run, endpoint: id, life };
+    const spec = this.deps.adoptPlacement(job, ref, placement);
+    if (spec === undefined) return false;
+    const { checkpoint } = listed;
+    const run = this.#createRun(spec, ref, listed.run, "running", checkpoint);
+    this.#addRun(session, run);
+    logRunDecision(this.deps, "run-adopted", session, run, "listed");
+    return true;
+  }
+
+  /**
+   * Withdraws a run of a listed task whose start has not been sent, so that the
+   * listed run can take its place.
+   */
+  #withdrawIntendedRun(job: string, listed: RunningTask): void {
+    for (const { session, run } of this.#runIndex.ofJob(job)) {
+      if (run.name !== listed.task || run.phase !== "intended") continue;
+      this.finishRun(session, run, "not-started", "another run is listed");
+    }
+  }
+
   endSession(session: EndpointSession, reason: string): void {
     if (session.closed) return;
     session.closed = true;
--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -195,8 +195,9 @@
     for (const run of result.unresolved) {
       this.runOrders.stop(session, run, "not listed");
     }
-    for (const { task, run } of result.foreign) {
-      this.runOrders.stopForeignRun(session, task, run);
+    for (const listed of result.foreign) {
+      if (this.control.adoptListedRun(session, listed)) continue;
+      this.runOrders.stopForeignRun(session, listed.task, listed.run);
     }
   }
 
--- a/src/scheduler/run_recorder.ts
+++ b/src/scheduler/run_recorder.ts
@@ -1,6 +1,8 @@
 /** Records confirmed and ended runs in the progress of their jobs. */
 import {
+  adoptRun,
   isFinal,
+  type JobSpec,
   markJobRunning,
   type Placement,
   recordRunEnd,
@@ -65,6 +67,25 @@
     if (job !== undefined) job.progress = markJobRunning(job.progress);
   }
 
+  /**
+   * Records a listed run as the placement of its task; returns its job, or
+   * undefined if the run is not wanted. Members of a gang are not adopted,
+   * because a gang runs only as a whole.
+   */
+  adoptPlacement(
+    id: string,
+    ref: TaskRef,
+    placement: Placement,
+  ): JobSpec | undefined {
+    const { clock, jobs } = this.deps;
+    const job = jobs.byId.get(id);
+    if (job === undefined || job.spec.steps[ref.step]?.gang) return undefined;
+    const next = adoptRun(job.progress, ref, placement);
+    if (next === undefined) return undefined;
+    jobs.update(job, next, clock.now());
+    return job.spec;
+  }
+
   /** Records the end of a tracked run, or the loss of an orphan run. */
   recordTrackedEnd(run: Run, end: RunEnd, checkpoint: string): void {
     if (end === "done") this.#recordRunTime(run);
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -138,6 +138,8 @@
         this.#recorder.recordTrackedEnd(run, end, checkpoint),
       onUntrackedRunEnded: (job, ref, run, end, checkpoint) =>
         this.#recorder.recordEnd(job, ref, run, end, checkpoint),
+      adoptPlacement: (job, ref, placement) =>
+        this.#recorder.adoptPlacement(job, ref, placement),
       mayStart: (run) => this.#recorder.mayStart(run),
       onRunConfirmed: (run) => this.#recorder.recordConfirmed(run),
       takenDownEndpoints: () => this.#takenDownEndpoints(),
