--- /dev/null
+++ b/test/platform/registration_test.ts
@@ -0,0 +1,88 @@
+/** Tests what a registration says that another writer has mangled. */
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import fc from "fast-check";
+import { decodeRegistration } from "../../platform/decode.ts";
+
+const born = 1_764_900_000_123;
+
+const row = {
+  backend: "p",
+  addr: "10.0.0.1:7001",
+  zone: "z",
+  version: "v1",
+  slots: 4,
+  state: "ready",
+  coldLeftMs: 0,
+  seq: 3,
+  born,
+  capacity: { cpu: 4_000, memMb: 8_192, gpu: 1 },
+  labels: ["k", "r1-3"],
+  machine: "m-1",
+};
+
+/** Values that are no count: of another type, negative or not a number. */
+const noCount = fc.oneof(
+  fc.string(),
+  fc.constantFrom(null, true, false, [], {}, `${born}`, [born]),
+  fc.double({ max: -Number.MIN_VALUE, noNaN: true }),
+);
+
+/** Values that are no start time. */
+const noBirth = fc.oneof(noCount, fc.constantFrom(0, -0, born + 0.5, 1e300));
+
+/** Values that are no address with a port. */
+const noAddress = fc.constantFrom(
+  ...["", "10.0.0.1", "10.0.0.1:", ":7001", "10.0.0.1:0", "10.0.0.1:70000"],
+  ...["10.0.0.1:port", "a b:7001", "http://10.0.0.1:7001", 7_001, null, {}],
+);
+
+const noText = fc.constantFrom("", 5, null, true, [], {});
+
+/** A row with one field missing or invalid. */
+const mangledRow = fc.oneof(
+  fc.constantFrom("backend", "addr", "state", "born", "capacity")
+    .map((field) => ({ ...row, [field]: undefined })),
+  noBirth.map((value) => ({ ...row, born: value })),
+  noAddress.map((addr) => ({ ...row, addr })),
+  noText.map((backend) => ({ ...row, backend })),
+  fc.constantFrom("", "READY", "gone", 1, null).map((state) => ({
+    ...row,
+    state,
+  })),
+  fc.tuple(fc.constantFrom("cpu", "memMb", "gpu"), noCount)
+    .map(([field, value]) => ({
+      ...row,
+      capacity: { ...row.capacity, [field]: value },
+    })),
+  noCount.map((capacity) => ({ ...row, capacity })),
+).map((value) => JSON.stringify(value));
+
+/** The beginning of a row, as of a write that was cut short. */
+const cutRow = fc.nat({ max: JSON.stringify(row).length - 1 })
+  .map((length) => JSON.stringify(row).slice(0, length));
+
+describe("a registration", () => {
+  it("is decoded if it is valid", () => {
+    const decoded = decodeRegistration("i-1", JSON.stringify(row));
+    assert.equal(decoded?.life, born);
+    assert.equal(decoded?.address, "10.0.0.1:7001");
+    assert.equal(decoded?.capacity.gpus, 1);
+  });
+
+  describe("that another writer has mangled", () => {
+    // Guards against TWICE: a row without a valid start time was decoded as
+    // incarnation 0, which ended the session of the living endpoint and started
+    // its tasks elsewhere.
+    it("names no endpoint, and so no incarnation that it did not have", () => {
+      fc.assert(fc.property(fc.oneof(mangledRow, cutRow), (value) => {
+        assert.equal(decodeRegistration("i-1", value), undefined);
+      }));
+    });
+
+    // Guards against an endpoint to which no order can be tied.
+    it("names no endpoint if its id is empty", () => {
+      assert.equal(decodeRegistration("", JSON.stringify(row)), undefined);
+    });
+  });
+});
