--- a/src/upkeep/host_control.ts
+++ b/src/upkeep/host_control.ts
@@ -8,9 +8,14 @@
   readonly term: number;
 }
 
-/** Outcome of an order about a host; `unknown`: there was no answer. */
+/**
+ * Outcome of an order about a host; `unknown`: there was no answer, or one that
+ * does not say whether the order was carried out.
+ */
 export type HostOrderOutcome =
+  /** This order or an earlier one with the same content was carried out. */
   | { readonly kind: "done" }
+  /** The order had no effect. */
   | { readonly kind: "rejected"; readonly reason: string }
   /** The provider's rate limit was exceeded; the order had no effect. */
   | { readonly kind: "throttled" }
