Mark an endpoint as taken down only once the listing shows it

What callers saw: after a takeover of the fleet, or after an order for maintenance without an answer, the endpoint with which a host had come back was marked as taken down. The owner of its pool gave up the runs there and started them elsewhere while they went on, and never used the endpoint again as long as its host listed it.

Cause: the host service also confirms an order whose operation is done already. The wave marked the endpoint that the listing showed before the order, which in that case is the new one; the mark was never taken back.

A confirmed order for maintenance now only notes the endpoint. If listings requested more than 1 s apart go on to show it, the request to vacate it is withdrawn. The same holds for marks of moves and for those loaded from an earlier owner. A withdrawn endpoint is vacated again only after its pool's owner has withdrawn the report that it is empty, since that report would count at once. A move still marks the endpoint at once: its answer shows that the host has left the pool in which the listing had shown it.

--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -140,6 +140,8 @@
       return reconcileIntervalMs;
     }
     const hosts = new Map(listed.val.map((host) => [host.host, host]));
+    this.#vacates.observe(listed.val, requestedAt);
+    await this.#forgetWithdrawn(listed.val);
     await this.#advanceWaves({ hosts, requestedAt });
     await this.#moveHosts(listed.val);
     await this.#commitChanges(listed.val);
@@ -162,34 +164,56 @@
     return true;
   }
 
-  /** Vacating endpoints that their pool's owner has reported empty. */
-  async #emptyEndpoints(
+  /**
+   * Reads which of the endpoints `ids` their pool's owner reports as empty;
+   * `isComplete` is false if a read failed.
+   */
+  async #readVacated(
     hosts: readonly ProviderHost[],
-  ): Promise<ReadonlySet<string>> {
-    const vacatingHosts = hosts.filter((h) => this.#vacates.has(h.endpoint));
-    const pools = new Set(vacatingHosts.map((h) => h.pool));
+    ids: ReadonlySet<string>,
+  ): Promise<{ readonly vacated: Set<string>; readonly isComplete: boolean }> {
+    const pools = hosts.filter((h) => ids.has(h.endpoint)).map((h) => h.pool);
     const reads = await Promise.all(
-      [...pools].map((pool) => {
+      [...new Set(pools)].map((pool) => {
         const { table, partition } = vacatedKey(pool, "");
         return this.deps.store.range({ table, partition });
       }),
     );
-    const emptyIds = reads.flatMap((read) =>
+    const reported = reads.flatMap((read) =>
       read.ok ? read.val.rows.map((row) => row.key) : []
     );
-    return new Set(emptyIds.filter((id) => this.#vacates.has(id)));
+    return {
+      vacated: new Set(reported.filter((id) => ids.has(id))),
+      isComplete: reads.every((read) => read.ok),
+    };
+  }
+
+  /**
+   * Forgets the endpoints whose request to vacate them is withdrawn. One that
+   * is still reported as empty is kept, because the report would count for the
+   * next request, when the endpoint may have received tasks.
+   */
+  async #forgetWithdrawn(hosts: readonly ProviderHost[]): Promise<void> {
+    const withdrawn = this.#vacates.withdrawn();
+    if (withdrawn.size === 0) return;
+    const read = await this.#readVacated(hosts, withdrawn);
+    if (!read.isComplete) return;
+    for (const id of withdrawn) {
+      if (!read.vacated.has(id)) this.#vacates.forgetWithdrawn(id);
+    }
   }
 
   /** Advances all open waves by their next actions. */
   async #advanceWaves(listing: HostListing): Promise<void> {
     const open = this.#waveRunner.openWaves();
     if (open.length === 0) return;
-    const empty = await this.#emptyEndpoints([...listing.hosts.values()]);
+    const hosts = [...listing.hosts.values()];
+    const { vacated } = await this.#readVacated(hosts, this.#vacates.all());
     for (const wave of open) {
       await this.#waveRunner.advance(
         wave,
         listing,
-        empty,
+        vacated,
         (host, id) => this.#beginMaintenance(host, id),
       );
     }
--- a/src/upkeep/vacate_tracker.ts
+++ b/src/upkeep/vacate_tracker.ts
@@ -1,6 +1,11 @@
 /**
  * Tracks the endpoints that the fleet's owner vacates and those whose host it
  * has taken down or moved, until the host listing and the store reflect it.
+ *
+ * An order that is confirmed may have been carried out earlier, and its host
+ * may be back with another endpoint. An endpoint therefore counts as taken down
+ * by an order for maintenance only once a listing shows that it is gone. If the
+ * listing goes on to show it, the request to vacate it is withdrawn.
  */
 import type { RowPut, StoreRowKey } from "../store/index.ts";
 import type { ProviderHost } from "../capacity/index.ts";
@@ -12,12 +17,30 @@
  */
 const forgetAfterMs = 15_000;
 
+/**
+ * Time for which the listing may still show an endpoint whose host was taken
+ * down, in ms, counted between the requests of two listings.
+ */
+const maxListingLagMs = 1_000;
+
 /** An endpoint that is being vacated or was taken down. */
 interface VacatingEndpoint {
   /** Wall-clock time at which vacating began, in ms. */
   readonly since: number;
   state: VacateState;
-  /** Whether the store has the current state. */
+  /** Whether an order about its host was confirmed. */
+  isOrdered: boolean;
+  /**
+   * Monotonic time of the request of the first listing after its host was taken
+   * down, or after the row was loaded; undefined before that.
+   */
+  firstListedAt: number | undefined;
+  /**
+   * Whether the request to vacate it is withdrawn. It is tracked further until
+   * its pool's owner no longer reports it as empty.
+   */
+  isWithdrawn: boolean;
+  /** Whether the store has the current state, or no row once withdrawn. */
   isStored: boolean;
   /** Monotonic time since which no listed host runs it. */
   unlistedSince: number | undefined;
@@ -35,49 +58,104 @@
 export class VacateTracker {
   readonly #endpoints = new Map<string, VacatingEndpoint>();
 
-  /** Requests that an endpoint be vacated, at the wall-clock time `wall`. */
+  /**
+   * Requests that an endpoint be vacated, at the wall-clock time `wall`. Has no
+   * effect on an endpoint whose last request is being withdrawn.
+   */
   requestVacate(endpoint: string, wall: number): void {
     if (this.#endpoints.has(endpoint)) return;
     this.#endpoints.set(endpoint, {
       since: wall,
       state: "emptying",
+      isOrdered: false,
+      firstListedAt: undefined,
+      isWithdrawn: false,
       isStored: false,
       unlistedSince: undefined,
     });
   }
 
-  /** Records that an endpoint's host was taken down or moved. */
-  markDown(endpoint: string, wall: number): void {
+  /**
+   * Records that an order to take down an endpoint's host was confirmed. Only a
+   * later listing tells whether the endpoint has ended.
+   */
+  recordOrder(endpoint: string, wall: number): void {
     if (endpoint === "") return;
     this.requestVacate(endpoint, wall);
     const tracked = this.#endpoints.get(endpoint);
-    if (tracked === undefined || tracked.state === "down") return;
-    tracked.state = "down";
+    if (tracked === undefined) return;
+    tracked.isOrdered = true;
+    tracked.firstListedAt = undefined;
+    if (!tracked.isWithdrawn) return;
+    tracked.isWithdrawn = false;
     tracked.isStored = false;
   }
 
+  /** Records that an endpoint's host was moved to another pool. */
+  markDown(endpoint: string, wall: number): void {
+    this.recordOrder(endpoint, wall);
+    const tracked = this.#endpoints.get(endpoint);
+    if (tracked !== undefined) this.#setDown(tracked);
+  }
+
+  /**
+   * Applies a listing that was requested at the monotonic time `requestedAt`,
+   * after all orders recorded so far.
+   */
+  observe(hosts: readonly ProviderHost[], requestedAt: number): void {
+    const up = hosts.filter((h) => h.state === "up");
+    const running = new Set(up.map((h) => h.endpoint));
+    for (const [id, tracked] of this.#endpoints) {
+      if (!tracked.isOrdered || tracked.isWithdrawn) continue;
+      tracked.firstListedAt ??= requestedAt;
+      if (!running.has(id)) this.#setDown(tracked);
+      else if (requestedAt - tracked.firstListedAt > maxListingLagMs) {
+        tracked.isWithdrawn = true;
+        tracked.isStored = false;
+      }
+    }
+  }
+
+  /** Endpoints whose request is being withdrawn. */
+  withdrawn(): ReadonlySet<string> {
+    return this.#idsWhere((e) => e.isWithdrawn);
+  }
+
+  /**
+   * Forgets an endpoint whose request is withdrawn in the store, and which its
+   * pool's owner no longer reports as empty.
+   */
+  forgetWithdrawn(endpoint: string): void {
+    const tracked = this.#endpoints.get(endpoint);
+    if (tracked?.isWithdrawn && tracked.isStored) {
+      this.#endpoints.delete(endpoint);
+    }
+  }
+
   /** Loads a row that a previous owner stored. */
   load(endpoint: string, state: VacateState, wall: number): void {
     this.requestVacate(endpoint, wall);
     const tracked = this.#endpoints.get(endpoint);
     if (tracked === undefined) return;
     tracked.state = state;
+    tracked.isOrdered = state === "down";
     tracked.isStored = true;
   }
 
   /** Whether an endpoint is being vacated or was taken down. */
   has(endpoint: string): boolean {
-    return this.#endpoints.has(endpoint);
+    return this.#endpoints.get(endpoint)?.isWithdrawn === false;
   }
 
   /** Wall-clock time at which vacating an endpoint began, in ms. */
   vacatingSince(endpoint: string): number | undefined {
-    return this.#endpoints.get(endpoint)?.since;
+    const tracked = this.#endpoints.get(endpoint);
+    return tracked?.isWithdrawn ? undefined : tracked?.since;
   }
 
   /** All endpoints that are being vacated or were taken down. */
   all(): ReadonlySet<string> {
-    return new Set(this.#endpoints.keys());
+    return this.#idsWhere((e) => !e.isWithdrawn);
   }
 
   /**
@@ -91,12 +169,13 @@
   ): VacateChanges {
     const listed = new Set(hosts.map((h) => h.endpoint));
     const allUnstored: [string, VacatingEndpoint][] = [];
-    const allRemoved: string[] = [];
+    const allRemoved: [string, VacatingEndpoint][] = [];
     for (const [id, endpoint] of this.#endpoints) {
       if (listed.has(id)) endpoint.unlistedSince = undefined;
       else endpoint.unlistedSince ??= now;
       const isForgotten = now - (endpoint.unlistedSince ?? now) > forgetAfterMs;
-      if (isForgotten) allRemoved.push(id);
+      const isRemoved = endpoint.isWithdrawn && !endpoint.isStored;
+      if (isForgotten || isRemoved) allRemoved.push([id, endpoint]);
       else if (!endpoint.isStored) allUnstored.push([id, endpoint]);
     }
     const unstored = allUnstored.slice(0, limit);
@@ -106,11 +185,27 @@
         ...vacateKey(id),
         value: encodeVacate(state),
       })),
-      removes: removed.map(vacateKey),
+      removes: removed.map(([id]) => vacateKey(id)),
       onCommitted: () => {
         for (const [, endpoint] of unstored) endpoint.isStored = true;
-        for (const id of removed) this.#endpoints.delete(id);
+        for (const [id, endpoint] of removed) {
+          if (endpoint.isWithdrawn) endpoint.isStored = true;
+          else this.#endpoints.delete(id);
+        }
       },
     };
   }
+
+  #idsWhere(
+    test: (endpoint: VacatingEndpoint) => boolean,
+  ): ReadonlySet<string> {
+    const found = [...this.#endpoints].filter(([, e]) => test(e));
+    return new Set(found.map(([id]) => id));
+  }
+
+  #setDown(tracked: VacatingEndpoint): void {
+    if (tracked.state === "down") return;
+    tracked.state = "down";
+    tracked.isStored = false;
+  }
 }
--- a/src/upkeep/wave_runner.ts
+++ b/src/upkeep/wave_runner.ts
@@ -115,7 +115,7 @@
       // An unconfirmed order may have taken effect; it is sent again later.
       if (!await takeDown(host, wave.id)) break;
       this.#downSince.set(host.host, clock.now());
-      vacates.markDown(host.endpoint, clock.wall());
+      vacates.recordOrder(host.endpoint, clock.wall());
       begun.push(host.host);
     }
     for (const id of actions.vacate) vacates.requestVacate(id, clock.wall());
