Count a host as down while an order about it has no answer

Cause: only confirmed orders counted. A host that the listing showed in maintenance without a confirmed order was passed over as not up, and an order that might still be carried out was forgotten; another host could come first in the next plan.

Evidence: wave_orders_test, on the code before: "counts the host as down while the listing shows it so" and "resolves it before another host is taken down" found the order for `b` beside `a`.

The wave now keeps the hosts whose order had no answer, counts them and those that are listed in maintenance as down, and repeats these orders first. Such a host is resolved by a confirmed order, or when it is listed with another endpoint or no longer listed. This is not stored: after a takeover orders wait as before for those in flight, and hosts listed in maintenance count.

--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -296,13 +296,16 @@
     return demands;
   }
 
-  /** Takes a host down for its maintenance; false unless confirmed. */
-  async #beginMaintenance(host: ProviderHost, wave: string): Promise<boolean> {
+  /** Takes a host down for its maintenance. */
+  async #beginMaintenance(
+    host: ProviderHost,
+    wave: string,
+  ): Promise<HostOrderOutcome | undefined> {
     const outcome = await this.#sendOrder((sender) =>
       this.deps.control.maintain(host.host, wave, sender)
     );
     this.#logOrder("host-maintenance", host.host, outcome, { wave });
-    return outcome?.kind === "done";
+    return outcome;
   }
 
   /** Moves a host; false if no further moves should be ordered for now. */
--- a/src/upkeep/wave_plan.ts
+++ b/src/upkeep/wave_plan.ts
@@ -33,6 +33,11 @@
 export interface WaveView {
   /** Listed hosts by name. */
   readonly listed: ReadonlyMap<string, ProviderHost>;
+  /**
+   * Hosts to which an order for this wave was sent that had no answer, so that
+   * it may still take them down.
+   */
+  readonly unresolved: ReadonlySet<string>;
   /** Vacating endpoints that were reported empty. */
   readonly empty: ReadonlySet<string>;
   /** Wall-clock time at which vacating an endpoint began, in ms. */
@@ -99,18 +104,40 @@
   return ordered.sort((a, b) => a.turn - b.turn).map(({ host }) => host);
 }
 
-/** Plans the next actions of a wave. */
+/**
+ * Number of a wave's hosts that are down or may be: those whose maintenance has
+ * begun and not ended, and others that an order without an answer may have
+ * taken down, or that the listing shows in maintenance.
+ */
+function countDown(
+  wave: RequestedWave,
+  progress: WaveProgress,
+  { listed, unresolved }: WaveView,
+): number {
+  const begun = new Set(progress.begun);
+  const ended = new Set(progress.ended);
+  return wave.hosts.filter((host) =>
+    begun.has(host)
+      ? !ended.has(host)
+      : unresolved.has(host) || listed.get(host)?.state === "upkeep"
+  ).length;
+}
+
+/**
+ * Plans the next actions of a wave. Hosts whose order had no answer come first
+ * among those to take down.
+ */
 export function planWaveActions(
   wave: RequestedWave,
   progress: WaveProgress,
   view: WaveView,
 ): WaveActions {
-  const { listed, empty, vacatingSince, now } = view;
+  const { listed, unresolved, empty, vacatingSince, now } = view;
   const begun = new Set(progress.begun);
-  const ended = new Set(progress.ended);
-  const down = progress.begun.filter((host) => !ended.has(host)).length;
+  const down = countDown(wave, progress, view);
   const remaining = wave.hosts.filter((host) => !begun.has(host));
   const parallel = requiredParallel(wave, progress, now);
+  const repeated: ProviderHost[] = [];
   const takeDown: ProviderHost[] = [];
   const vacate: string[] = [];
   let unavailable = down;
@@ -118,6 +145,10 @@
     const { endpoint } = host;
     const since = vacatingSince(endpoint);
     const isEmpty = endpoint === "" || empty.has(endpoint);
+    if (unresolved.has(host.host)) {
+      if (isEmpty) repeated.push(host);
+      continue;
+    }
     const mayTakeDown = down + takeDown.length < wave.maxParallel;
     if (isEmpty && mayTakeDown) {
       takeDown.push(host);
@@ -132,5 +163,5 @@
     vacate.push(endpoint);
     unavailable++;
   }
-  return { vacate, takeDown };
+  return { vacate, takeDown: [...repeated, ...takeDown] };
 }
--- a/src/upkeep/wave_runner.ts
+++ b/src/upkeep/wave_runner.ts
@@ -4,6 +4,7 @@
 import type { DecisionLog } from "../telemetry/index.ts";
 import { parseJson, type RowPut, type StoreRow } from "../store/index.ts";
 import type { ProviderHost } from "../capacity/index.ts";
+import type { HostOrderOutcome } from "./host_control.ts";
 import { waveRowKey } from "./rows.ts";
 import type { VacateTracker } from "./vacate_tracker.ts";
 import {
@@ -34,11 +35,14 @@
   publish(wave: string, state: "running" | "completed"): Promise<boolean>;
 }
 
-/** Takes one host down for its maintenance; false unless confirmed. */
+/**
+ * Takes one host down for its maintenance; returns undefined if the order was
+ * not sent.
+ */
 export type TakeHostDown = (
   host: ProviderHost,
   wave: string,
-) => Promise<boolean>;
+) => Promise<HostOrderOutcome | undefined>;
 
 /** The provider's host listing. */
 export interface HostListing {
@@ -64,6 +68,11 @@
   readonly #published = new Map<string, "running" | "completed">();
   /** Monotonic time at which a host was taken down. */
   readonly #downSince = new Map<string, number>();
+  /**
+   * Endpoints of the hosts to which an order was sent that had no answer, by
+   * wave and host.
+   */
+  readonly #unresolved = new Map<string, Map<string, string>>();
 
   constructor(private readonly deps: WaveRunnerDependencies) {}
 
@@ -104,16 +113,22 @@
     const previous = this.#progress.get(wave.id) ??
       { startedAt: clock.wall(), begun: [], ended: [] };
     const progress = this.#recordEnded(wave, previous, listing);
+    const unresolved = this.#unresolvedOrders(wave, listing);
     const actions = planWaveActions(wave, progress, {
       listed: listing.hosts,
+      unresolved: new Set(unresolved.keys()),
       empty,
       vacatingSince: (endpoint) => vacates.vacatingSince(endpoint),
       now: clock.wall(),
     });
     const begun: string[] = [];
     for (const host of actions.takeDown) {
-      // An unconfirmed order may have taken effect; it is sent again later.
-      if (!await takeDown(host, wave.id)) break;
+      const outcome = await takeDown(host, wave.id);
+      if (outcome?.kind === "unknown") {
+        unresolved.set(host.host, host.endpoint);
+      }
+      if (outcome?.kind !== "done") break;
+      unresolved.delete(host.host);
       this.#downSince.set(host.host, clock.now());
       vacates.recordOrder(host.endpoint, clock.wall());
       begun.push(host.host);
@@ -151,6 +166,26 @@
     }
   }
 
+  /**
+   * Orders of a wave that had no answer and may still take their host down.
+   * Those whose host is not listed, or is back with another endpoint, have been
+   * carried out and are removed.
+   */
+  #unresolvedOrders(
+    { id }: RequestedWave,
+    { hosts }: HostListing,
+  ): Map<string, string> {
+    const orders = this.#unresolved.get(id) ?? new Map<string, string>();
+    this.#unresolved.set(id, orders);
+    for (const [name, endpoint] of orders) {
+      const host = hosts.get(name);
+      const isBack = host?.state === "up" && host.endpoint !== "" &&
+        host.endpoint !== endpoint;
+      if (host === undefined || isBack) orders.delete(name);
+    }
+    return orders;
+  }
+
   /** Adds the hosts that are up again or no longer listed to `ended`. */
   #recordEnded(
     wave: RequestedWave,
--- a/test/upkeep/wave_orders_test.ts
+++ b/test/upkeep/wave_orders_test.ts
@@ -193,4 +193,65 @@
       assert.equal(vacateState("on-a"), undefined);
     });
   });
+
+  describe("when an order for maintenance has no answer", () => {
+    const unknown = { kind: "unknown", message: "no response" } as const;
+
+    // Guards against LIMIT: the host counted as available, and a second one was
+    // taken down beside it.
+    it("counts the host as down while the listing shows it so", async () => {
+      const fleet = await setUp(["a", "b"]);
+      const { onOrder, setHost, run, orders } = fleet;
+      onOrder.call = (host) => {
+        setHost(host, { state: "upkeep" });
+        return unknown;
+      };
+      await run(600);
+      fleet.reportEmpty("on-a");
+      await run(400);
+      setHost("b", { endpoint: "" });
+      await run(2_000);
+      assert.deepEqual(orders, ["a"]);
+    });
+
+    // Guards against the same when the order is carried out late.
+    it("resolves it before another host is taken down", async () => {
+      const fleet = await setUp(["a", "b"]);
+      const { onOrder, setHost, run, orders } = fleet;
+      onOrder.call = () => unknown;
+      await run(600);
+      fleet.reportEmpty("on-a");
+      await run(400);
+      setHost("b", { endpoint: "" });
+      await run(1_000);
+      assert.deepEqual([...new Set(orders)], ["a"]);
+      onOrder.call = (host) => {
+        setHost(host, { state: "upkeep" });
+        return { kind: "done" };
+      };
+      await run(1_400);
+      assert.deepEqual([...new Set(orders)], ["a"]);
+      setHost("a", { state: "up", endpoint: "new-on-a" });
+      await run(400);
+      assert.deepEqual([...new Set(orders)], ["a", "b"]);
+    });
+
+    it("completes when the host is back with another endpoint", async () => {
+      const fleet = await setUp(["a"]);
+      const { onOrder, setHost, run, states } = fleet;
+      onOrder.call = (host) => {
+        setHost(host, { state: "upkeep" });
+        return unknown;
+      };
+      await run(600);
+      fleet.reportEmpty("on-a");
+      await run(400);
+      setHost("a", { state: "up", endpoint: "new-on-a" });
+      onOrder.call = () => ({ kind: "done" });
+      await run(600);
+      fleet.reportEmpty("new-on-a");
+      await run(2_000);
+      assert.deepEqual(states, ["running", "completed"]);
+    });
+  });
 });
--- a/test/upkeep/wave_plan_test.ts
+++ b/test/upkeep/wave_plan_test.ts
@@ -29,6 +29,7 @@
 ) {
   const plan = planWaveActions(wave, progress, {
     listed: listed(),
+    unresolved: new Set(),
     empty: new Set(empty),
     vacatingSince: (id) => empty.includes(id) ? 0 : undefined,
     now,
@@ -60,6 +61,7 @@
     it("takes them down first, without vacating", () => {
       const plan = planWaveActions(wave, notStarted, {
         listed: listed("spare", (h) => h === "d" ? "" : `on-${h}`),
+        unresolved: new Set(),
         empty: new Set(),
         vacatingSince: () => undefined,
         now: 0,
