Let an endpoint itself confirm that it has restarted

What callers saw: tasks that must run once ran twice while their endpoint was up all the time, all tasks of an endpoint at the same instant. Cause: a registration of a living endpoint's id that named another start (of another writer, or out of date) ended its session, and all runs there counted as lost at once; so did an answer of another instance at an address that only such a row named, and, after a change of owner, a start in the registry that differs from that of the placement. A session keeps the address at which it has been answered, and an answer of another instance ends it only there; runs of an earlier owner are settled by the endpoint's lists or their lease, never by the registry.

--- a/src/scheduler/driver_dependencies.ts
+++ b/src/scheduler/driver_dependencies.ts
@@ -113,6 +113,8 @@
    * has no other run; returns whether it does.
    */
   adoptListedRun(session: EndpointSession, listed: RunningTask): boolean;
+  /** Ends a session whose endpoint has restarted; its runs end as lost. */
+  replaceIncarnation(session: EndpointSession): void;
   /** Ends a session; its remaining runs end as lost. */
   endSession(session: EndpointSession, reason: string): void;
   /**
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -20,6 +20,7 @@
   logRunDecision,
   maxInheritedLeaseMs,
   type SessionControl,
+  setPhase,
 } from "./driver_dependencies.ts";
 import { EndpointHolds } from "./endpoint_holds.ts";
 import {
@@ -27,16 +28,11 @@
   type Run,
   type RunPhase,
 } from "./endpoint_session.ts";
+import { IncarnationCheck } from "./incarnation_check.ts";
 import { OrphanRuns } from "./orphan_runs.ts";
 import { RunIndex } from "./run_index.ts";
 import { RunOrders } from "./run_orders.ts";
 
-/**
- * Value of `life` for an endpoint whose host has been taken down. No placement
- * has it, so all runs of earlier owners there count as lost.
- */
-const endedIncarnation = -1;
-
 /** Number of runs whose start order is in flight. */
 function countStarting({ runs }: EndpointSession): number {
   return [...runs.values()].filter((r) => r.phase === "starting").length;
@@ -54,15 +50,20 @@
   readonly #sessions = new Map<string, EndpointSession>();
   readonly #runIndex = new RunIndex();
   readonly #holds: EndpointHolds;
-  readonly #orphans: OrphanRuns;
+  readonly #orphans = new OrphanRuns();
+  /** Time at which all leases of earlier owners have expired. */
+  readonly #inheritedLeasesEndBy: number;
+  readonly #incarnations: IncarnationCheck;
+  /** Last incarnation of each id that is known to have ended. */
+  readonly #endedLives = new Map<string, number>();
   #isStopped = false;
 
   constructor(private readonly deps: DriverDependencies) {
     this.runOrders = new RunOrders(deps, this);
     this.#holds = new EndpointHolds(deps, this, this.runOrders);
-    this.#orphans = new OrphanRuns(
-      deps.clock.now() + maxInheritedLeaseMs(deps.previous),
-    );
+    this.#incarnations = new IncarnationCheck(deps);
+    this.#inheritedLeasesEndBy = deps.clock.now() +
+      maxInheritedLeaseMs(deps.previous);
   }
 
   get isStopped(): boolean {
@@ -87,7 +88,11 @@
 
   /** Tracks a run that an earlier owner may have started. */
   adoptRun(spec: JobSpec, ref: TaskRef, placement: Placement): void {
-    this.#orphans.add({ spec, ref, placement });
+    this.#orphans.add({
+      run: this.#createRun(spec, ref, placement.run, "doubtful", ""),
+      endpoint: placement.endpoint,
+      leaseEndsBy: this.#inheritedLeasesEndBy,
+    });
   }
 
   /**
@@ -105,11 +110,7 @@
       session.endpoint = { ...session.endpoint, draining: true };
       if (session.runs.size === 0) this.endSession(session, "not registered");
     }
-    const incarnationOf = (id: string) =>
-      takenDown.has(id) ? endedIncarnation : registry.get(id)?.life;
-    for (const orphan of this.#orphans.takeLost(clock.now(), incarnationOf)) {
-      const { spec, ref, placement } = orphan;
-      const run = this.#createRun(spec, ref, placement.run, "doubtful", "");
+    for (const { run } of this.#orphans.takeLost(clock.now(), takenDown)) {
       this.deps.onRunEnded(run, "lost", "");
     }
   }
@@ -202,6 +203,13 @@
     }
   }
 
+  replaceIncarnation(session: EndpointSession): void {
+    if (session.closed) return;
+    const { id, life } = session.endpoint;
+    this.#endedLives.set(id, life);
+    this.endSession(session, "another life");
+  }
+
   endSession(session: EndpointSession, reason: string): void {
     if (session.closed) return;
     session.closed = true;
@@ -229,28 +237,51 @@
   }
 
   /**
-   * Updates the session of a registered endpoint. Opens a new one, with the
-   * runs of earlier owners, when the endpoint is new or has restarted.
+   * Updates the session of a registered endpoint, or opens one. A registration
+   * alone does not end the session of another incarnation: it may be that of
+   * another writer, or out of date. The endpoint itself has to confirm it.
    */
   #openOrUpdateSession(endpoint: TaskEndpoint): void {
-    const existing = this.#sessions.get(endpoint.id);
-    if (existing?.endpoint.life === endpoint.life) {
-      existing.endpoint = endpoint;
-      return;
-    }
-    if (existing !== undefined) this.endSession(existing, "another life");
-    const adopted = this.#orphans.takeForEndpoint(endpoint.id, endpoint.life);
-    const leaseEndsBy = adopted.length > 0
-      ? this.#orphans.leaseEndsBy
-      : -Infinity;
+    const { id, life } = endpoint;
+    const existing = this.#sessions.get(id);
+    if (existing === undefined) {
+      if (this.#endedLives.get(id) !== life) this.#openSession(endpoint);
+    } else if (existing.endpoint.life === life) {
+      existing.updateRegistration(endpoint);
+    } else this.#checkIncarnation(existing, endpoint);
+  }
+
+  /**
+   * Replaces a session if the incarnation that the registration names answers.
+   * Until then no task is placed there.
+   */
+  async #checkIncarnation(
+    session: EndpointSession,
+    endpoint: TaskEndpoint,
+  ): Promise<void> {
+    session.isDisputed = true;
+    if (!await this.#incarnations.isConfirmed(endpoint)) return;
+    if (this.#isStopped || session.closed) return;
+    this.replaceIncarnation(session);
+    this.#openSession(endpoint);
+  }
+
+  /**
+   * Opens the session of an incarnation, with the runs that may be in progress
+   * there.
+   */
+  #openSession(endpoint: TaskEndpoint): void {
+    const { id } = endpoint;
+    const orphans = this.#orphans.takeForEndpoint(id);
+    const leaseEndsBy = Math.max(...orphans.map((o) => o.leaseEndsBy));
     const session = new EndpointSession(endpoint, leaseEndsBy);
-    this.#sessions.set(endpoint.id, session);
-    for (const orphan of adopted) {
-      const { spec, ref, placement } = orphan;
-      const run = this.#createRun(spec, ref, placement.run, "doubtful", "");
+    this.#sessions.set(id, session);
+    this.#endedLives.delete(id);
+    for (const { run } of orphans) {
+      setPhase(run, "doubtful", this.deps.clock.now());
       this.#addRun(session, run);
     }
-    this.#logSession("session-opened", session, { adopted: adopted.length });
+    this.#logSession("session-opened", session, { adopted: orphans.length });
     this.#holds.holdUntilClosed(session);
   }
 
--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -125,8 +125,9 @@
       leaseLeftMs: Math.round(session.leaseEndsBy - clock.now()),
     });
     if (reason === "fenced") this.deps.onOwnerFenced();
-    else if (reason === "other-life") this.control.endSession(session, reason);
-    else if (clock.now() > session.leaseEndsBy) this.#endExpiredRuns(session);
+    else if (reason === "other-life" && session.hasAnswered) {
+      this.control.endSession(session, reason);
+    } else if (clock.now() > session.leaseEndsBy) this.#endExpiredRuns(session);
     return holdRetryPauseMs;
   }
 
@@ -152,7 +153,7 @@
   ): Promise<number> {
     const now = this.deps.clock.now();
     if (lists.life !== session.endpoint.life) {
-      this.control.endSession(session, "another life");
+      this.control.replaceIncarnation(session);
       return holdRetryPauseMs;
     }
     session.recordClock(lists.clockMs, now);
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -161,6 +161,8 @@
   noStartUntil = 0;
   /** Whether the session has ended; nothing more is sent for it. */
   closed = false;
+  /** Whether the registration of its id names another incarnation. */
+  isDisputed = false;
   /** Time since which holds have had no answer; undefined after an answer. */
   #unansweredSince: number | undefined;
   /** Time at which the latest hold that has been answered was sent. */
@@ -243,9 +245,24 @@
     return now - this.#answeredHoldSentAt;
   }
 
+  /** Whether the endpoint has answered a hold as this incarnation. */
+  get hasAnswered(): boolean {
+    return this.#lastAnswerAt > -Infinity;
+  }
+
+  /**
+   * Takes over a new registration of this incarnation. The address of an
+   * incarnation does not change, so one that has answered keeps its own.
+   */
+  updateRegistration(endpoint: TaskEndpoint): void {
+    this.isDisputed = false;
+    const address = this.hasAnswered ? this.endpoint.address : endpoint.address;
+    this.endpoint = { ...endpoint, address };
+  }
+
   /** Whether tasks may be placed on this endpoint. */
   get isOpen(): boolean {
-    return !this.closed && this.fenced && !this.silent &&
+    return !this.closed && this.fenced && !this.silent && !this.isDisputed &&
       !this.endpoint.draining &&
       this.#clockMs !== undefined;
   }
--- a/src/scheduler/orphan_runs.ts
+++ b/src/scheduler/orphan_runs.ts
@@ -1,56 +1,50 @@
 /**
- * Runs that an earlier owner may have started on endpoints for which this
- * owner has no session yet.
+ * Runs that an earlier owner may have started on endpoints for which this owner
+ * has no session yet.
  */
-import type { JobSpec, Placement, TaskRef } from "../batch/index.ts";
+import type { Run } from "./endpoint_session.ts";
 
-/** A run whose endpoint has no session yet. */
+/** A run whose endpoint has no session. */
 export interface OrphanRun {
-  readonly spec: JobSpec;
-  readonly ref: TaskRef;
-  readonly placement: Placement;
+  readonly run: Run;
+  /** Id of the endpoint. */
+  readonly endpoint: string;
+  /** Monotonic time in ms at which its lease has expired for certain. */
+  readonly leaseEndsBy: number;
 }
 
 /** The orphan runs of one shard. */
 export class OrphanRuns {
-  #runs: OrphanRun[] = [];
-
-  /**
-   * @param leaseEndsBy Monotonic time in ms at which all leases of earlier
-   * owners have expired.
-   */
-  constructor(readonly leaseEndsBy: number) {}
+  #orphans: OrphanRun[] = [];
 
   /** Adds a run. */
-  add(run: OrphanRun): void {
-    this.#runs.push(run);
+  add(orphan: OrphanRun): void {
+    this.#orphans.push(orphan);
   }
 
-  /** Removes and returns the runs of one incarnation of an endpoint. */
-  takeForEndpoint(endpoint: string, life: number): readonly OrphanRun[] {
-    return this.#remove(({ placement }) =>
-      placement.endpoint === endpoint && placement.life === life
-    );
+  /** Removes and returns the runs of an endpoint, of all its incarnations. */
+  takeForEndpoint(endpoint: string): readonly OrphanRun[] {
+    return this.#remove((orphan) => orphan.endpoint === endpoint);
   }
 
   /**
-   * Removes and returns the runs that can no longer be in progress: their
-   * endpoint has restarted, or their lease has expired.
+   * Removes and returns the runs that can no longer be in progress: their host
+   * was taken down, or their lease has expired.
    */
   takeLost(
     now: number,
-    incarnationOf: (endpoint: string) => number | undefined,
+    takenDown: ReadonlySet<string>,
   ): readonly OrphanRun[] {
-    return this.#remove(({ placement }) => {
-      const life = incarnationOf(placement.endpoint);
-      const hasRestarted = life !== undefined && life !== placement.life;
-      return hasRestarted || now > this.leaseEndsBy;
-    });
+    return this.#remove(({ endpoint, leaseEndsBy }) =>
+      takenDown.has(endpoint) || now > leaseEndsBy
+    );
   }
 
-  #remove(test: (run: OrphanRun) => boolean): readonly OrphanRun[] {
-    const removed = this.#runs.filter(test);
-    if (removed.length > 0) this.#runs = this.#runs.filter((r) => !test(r));
+  #remove(test: (orphan: OrphanRun) => boolean): readonly OrphanRun[] {
+    const removed = this.#orphans.filter(test);
+    if (removed.length > 0) {
+      this.#orphans = this.#orphans.filter((o) => !test(o));
+    }
     return removed;
   }
 }
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -158,7 +158,7 @@
     }
     if (outcome.kind !== "rejected") return false;
     if (outcome.reason === "fenced") this.deps.onOwnerFenced();
-    else if (outcome.reason === "other-life") {
+    else if (outcome.reason === "other-life" && session.hasAnswered) {
       this.control.endSession(session, outcome.reason);
     } else return false;
     return true;
@@ -254,7 +254,9 @@
       session.noStartUntil = now + rejectionPauseMs;
     }
     this.control.finishRun(session, run, "not-started", reason);
-    if (reason === "other-life") this.control.endSession(session, reason);
+    if (reason === "other-life" && session.hasAnswered) {
+      this.control.endSession(session, reason);
+    }
   }
 
   #setPhase(run: Run, phase: RunPhase): void {
