Model restarts under an id, delayed orders and rows of other writers

By the platform's protocol an endpoint checks only the id that an order names. The model now does so, and differs from the earlier one in this:

- An order goes to the endpoint that is up at its address when it arrives.
Another id answers `other-life`.
An order that arrives while the endpoint is down waits for it until the sender's timeout.
- Rows of other writers, missing rows, and registries that go back to an older state can be set under the id of a living endpoint.

The actions `restart`, `delay`, `unlist`, `foreign-row` and `set-back` make them available to scenarios. Orders of the kind `late` still end with the incarnation that they have reached.

--- a/sim/actions.ts
+++ b/sim/actions.ts
@@ -4,6 +4,7 @@
  */
 import type { JobKind } from "./jobs.ts";
 import { makeJob } from "./jobs.ts";
+import type { ForeignRowKind } from "./model_registrations.ts";
 import { poolNames } from "./pools.ts";
 import type { BatchSimulation } from "./batch_simulation.ts";
 
@@ -40,10 +41,37 @@
   | { readonly kind: "compact" }
   /** Crashes a host with its endpoint; the host reboots after `downMs`. */
   | { readonly kind: "crash"; readonly host: number; readonly downMs: number }
+  /** Restarts an endpoint under its id and address after `downMs`. */
+  | { readonly kind: "restart"; readonly host: number; readonly downMs: number }
   /** Disconnects an endpoint whose tasks keep running. */
   | { readonly kind: "cut"; readonly host: number; readonly downMs: number }
   /** Leaves a share of the orders unanswered; they take effect late. */
   | { readonly kind: "late"; readonly share: number; readonly ms: number }
+  /**
+   * Delays each order and each answer by up to `maxMs`. None is late in the
+   * sense of `late`.
+   */
+  | { readonly kind: "delay"; readonly maxMs: number; readonly ms: number }
+  /** Removes the registration of an endpoint that lives. */
+  | { readonly kind: "unlist"; readonly host: number; readonly ms: number }
+  /**
+   * Replaces an endpoint's registration by another writer's row, which may name
+   * the endpoint of the host `other`.
+   */
+  | {
+    readonly kind: "foreign-row";
+    readonly row: ForeignRowKind;
+    readonly host: number;
+    readonly other: number;
+    readonly ms: number;
+  }
+  /** Sets an entry's registrations back to those of `ageMs` ago. */
+  | {
+    readonly kind: "set-back";
+    readonly entry: number;
+    readonly ageMs: number;
+    readonly ms: number;
+  }
   /** Requests a maintenance wave over the first `hosts` hosts. */
   | { readonly kind: "wave"; readonly hosts: number };
 
@@ -109,12 +137,32 @@
       case "crash":
         sim.crashHost(action.host, action.downMs);
         break;
+      case "restart":
+        sim.restartEndpoint(action.host, action.downMs);
+        break;
       case "cut":
         sim.isolateHost(action.host, action.downMs);
         break;
       case "late":
         this.#delayOrders(action.share, action.ms);
         break;
+      case "delay":
+        sim.maxOrderDelayMs = action.maxMs;
+        clock.after(action.ms, () => sim.maxOrderDelayMs = 0);
+        break;
+      case "unlist":
+        sim.unlistEndpoint(action.host, action.ms);
+        break;
+      case "foreign-row": {
+        const { host, other, row, ms } = action;
+        sim.overwriteRegistration(host, other, row, ms);
+        break;
+      }
+      case "set-back": {
+        const name = this.#entryName(action.entry);
+        sim.setRegistryBack(name, action.ageMs, action.ms);
+        break;
+      }
       case "wave":
         this.#startWave(action.hosts);
         break;
--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -9,24 +9,19 @@
   parseTaskName,
   type StepSpec,
 } from "../src/batch/index.ts";
-import type { ProviderHost } from "../src/capacity/index.ts";
-import { EndpointRegistry, type TaskEndpoint } from "../src/endpoint/index.ts";
+import { EndpointRegistry } from "../src/endpoint/index.ts";
 import { Intake } from "../src/intake/index.ts";
 import { BatchService } from "../src/service/index.ts";
-import { type Store, type StoreRow, TableWatch } from "../src/store/index.ts";
-import type {
-  HostControl,
-  HostOrderOutcome,
-  OrderSender,
-  RequestedWave,
-} from "../src/upkeep/index.ts";
-import { Ok } from "ts-results";
-import {
-  ModelEndpoint,
-  ModelOrders,
-  type TaskModel,
-} from "./model_endpoints.ts";
+import type { Store } from "../src/store/index.ts";
+import type { RequestedWave } from "../src/upkeep/index.ts";
 import { ModelAdvisor } from "./model_advisor.ts";
+import type { TaskModel } from "./model_endpoint.ts";
+import { type ModelHost, ModelHosts } from "./model_hosts.ts";
+import { ModelOrders } from "./model_orders.ts";
+import {
+  type ForeignRowKind,
+  ModelRegistrations,
+} from "./model_registrations.ts";
 import { ModelStore } from "./model_store.ts";
 import { BatchOracle } from "./oracle.ts";
 import { poolNames, queueForPool } from "./pools.ts";
@@ -36,15 +31,6 @@
 /** Longest step by which the clock advances at once, in ms. */
 const maxClockStepMs = 10;
 
-/** Time for which a host is down when it moves to another pool, in ms. */
-const moveDurationMs = 1_500;
-
-/** Time for which a host is down for maintenance, in ms. */
-const maintenanceDurationMs = 2_000;
-
-/** Table in which endpoints register. */
-const registrationTable = "registrations";
-
 /** Share by which the endpoints' clocks run slow. */
 const clockDrift = 0.015;
 
@@ -58,20 +44,13 @@
   readonly workFactor?: number;
 }
 
-/** A host and the endpoint that runs on it, if any. */
-interface ModelHost {
-  readonly host: string;
-  pool: string;
-  state: ProviderHost["state"];
-  endpoint: ModelEndpoint | undefined;
-}
-
 /** One process of an entry. */
 interface ModelEntry {
   readonly name: string;
   readonly process: ProcessClock;
   readonly store: Store;
   readonly orders: ModelOrders;
+  readonly registry: EndpointRegistry;
   readonly service: BatchService;
 }
 
@@ -83,12 +62,11 @@
   readonly clock = new VirtualClock();
   readonly oracle = new BatchOracle(
     () => this.clock.now(),
-    (task) => this.hosts.some((h) => h.endpoint?.isAvailable(task)),
+    (task) => this.#hosts.isAvailable(task),
   );
   readonly random: () => number;
   readonly store: ModelStore;
   readonly entries = new Map<string, ModelEntry>();
-  readonly hosts: ModelHost[] = [];
   /** Maintenance waves that the operator has requested. */
   readonly waves: RequestedWave[] = [];
   /** Last published state of each wave, by its id. */
@@ -98,9 +76,8 @@
   /** Decisions of all entries: time in s, entry, event, fields as JSON. */
   readonly log: string[] = [];
   readonly advisor = new ModelAdvisor(this.clock);
-  /** All incarnations of endpoints by their id. */
-  readonly #endpoints = new Map<string, ModelEndpoint>();
-  #endpointCount = 0;
+  readonly #registrations: ModelRegistrations;
+  readonly #hosts: ModelHosts;
   #bootCount = 0;
   /** Share of start and stop orders that get no answer and take effect late. */
   lateShare = 0;
@@ -108,16 +85,26 @@
   constructor(readonly options: BatchSimulationOptions) {
     this.random = mulberry32(options.seed);
     this.store = new ModelStore(this.clock, this.random);
-    for (const pool of poolNames) {
-      for (let i = 0; i < options.hostsPerPool; i++) {
-        const host = `${pool}-${i}`;
-        this.hosts.push({ host, pool, state: "up", endpoint: undefined });
-      }
-    }
-    for (const host of this.hosts) this.#bootHost(host);
+    this.#registrations = new ModelRegistrations(this.store, this.clock);
+    this.#hosts = new ModelHosts(
+      options.hostsPerPool,
+      {
+        clock: this.clock,
+        oracle: this.oracle,
+        clockDrift,
+        modelOf: (task) => this.#taskModel(task),
+      },
+      this.#registrations,
+      this.random,
+    );
     for (let i = 0; i < options.entries; i++) this.startEntry(`entry-${i}`);
   }
 
+  /** The hosts and their endpoints. */
+  get hosts(): readonly ModelHost[] {
+    return this.#hosts.list;
+  }
+
   /**
    * Advances the clock by `ms` in small steps, so that work that waits for
    * promises rather than timers progresses at the right time.
@@ -133,13 +120,7 @@
   startEntry(name: string): void {
     const process = new ProcessClock(this.clock);
     const store = this.store.connect(name, process);
-    const findEndpoint = (id: string) => this.#endpoints.get(id);
-    const orders = new ModelOrders(
-      process,
-      this.clock,
-      this.random,
-      findEndpoint,
-    );
+    const orders = new ModelOrders(process, this.#hosts.network);
     orders.lateShare = this.lateShare;
     const catalog = new CatalogHolder();
     catalog.updateIfNewer({
@@ -162,7 +143,7 @@
       store,
       orders,
       advisor: this.advisor.connect(process),
-      control: this.#hostControl(process),
+      control: this.#hosts.control(process),
       requestedWaves: {
         waves: () => this.waves,
         publish: (wave, state) => {
@@ -173,8 +154,8 @@
       catalog,
       registry,
       followed: [{
-        name: registrationTable,
-        watch: this.#watchRegistrations(store, registry),
+        name: "registrations",
+        watch: this.#registrations.watch(store, registry),
         waitMs: 1_000,
         pauseMs: 100,
         onlyWhileActive: true,
@@ -190,7 +171,8 @@
         this.oracle.violations.push(`CRASH of ${actor}: ${err}`);
       },
     });
-    this.entries.set(name, { name, process, store, orders, service });
+    const entry = { name, process, store, orders, registry, service };
+    this.entries.set(name, entry);
     service.start();
   }
 
@@ -237,15 +219,12 @@
 
   /** Crashes a host; it boots again with a new endpoint after `downMs`. */
   crashHost(index: number, downMs: number): void {
-    const host = this.hosts[index % this.hosts.length];
-    const { endpoint } = host;
-    if (host.state !== "up" || endpoint === undefined) return;
-    endpoint.crash();
-    host.state = "down";
-    this.clock.after(downMs, () => {
-      this.#unregister(endpoint.info);
-      this.#bootHost(host);
-    });
+    this.#hosts.crash(index, downMs);
+  }
+
+  /** Restarts an endpoint under its id; it is down for `downMs`. */
+  restartEndpoint(index: number, downMs: number): void {
+    this.#hosts.restart(index, downMs);
   }
 
   /**
@@ -253,14 +232,40 @@
    * registration; its tasks keep running.
    */
   isolateHost(index: number, downMs: number): void {
-    const { endpoint } = this.hosts[index % this.hosts.length];
-    if (endpoint === undefined) return;
-    endpoint.isIsolated = true;
-    this.#unregister(endpoint.info);
-    this.clock.after(downMs, () => {
-      endpoint.isIsolated = false;
-      if (endpoint.isUp) this.#register(endpoint.info);
-    });
+    this.#hosts.isolate(index, downMs);
+  }
+
+  /** Removes the registration of an endpoint for `ms`, though it lives. */
+  unlistEndpoint(index: number, ms: number): void {
+    this.#hosts.unlist(index, ms);
+  }
+
+  /**
+   * Replaces the registration of an endpoint by another writer's row for `ms`.
+   * `other` is the host whose endpoint's address or pool the row may name.
+   */
+  overwriteRegistration(
+    index: number,
+    other: number,
+    kind: ForeignRowKind,
+    ms: number,
+  ): void {
+    this.#hosts.overwriteRow(index, other, kind, ms);
+  }
+
+  /**
+   * Sets an entry's registry back to its state `ageMs` ago, for `lagMs`, as a
+   * full read from a replica that lags does.
+   */
+  setRegistryBack(name: string, ageMs: number, lagMs: number): void {
+    const entry = this.entries.get(name);
+    if (entry === undefined || entry.process.isDead) return;
+    this.#registrations.setBack(entry.registry, ageMs, lagMs);
+  }
+
+  /** Longest extra delay of an order or its answer in the network, in ms. */
+  set maxOrderDelayMs(ms: number) {
+    this.#hosts.network.maxExtraDelayMs = ms;
   }
 
   /** Ends all disturbances, and restarts or resumes all entries. */
@@ -268,6 +273,8 @@
     this.store.lostAnswerShare = 0;
     this.store.delayFactor = 1;
     this.lateShare = 0;
+    this.maxOrderDelayMs = 0;
+    this.#hosts.writeOwnRows();
     for (const entry of this.entries.values()) {
       this.store.setBehavior(entry.name, "serves");
       entry.orders.lateShare = 0;
@@ -325,109 +332,4 @@
         !spec.advised || this.advisor.acceptsTicket(task, endpoint, ticket),
     };
   }
-
-  #bootHost(host: ModelHost): void {
-    const life = this.clock.wall();
-    const info: TaskEndpoint = {
-      id: `endpoint-${++this.#endpointCount}`,
-      address: host.host,
-      pool: host.pool,
-      zone: "zone",
-      life,
-      capacity: { cpuMillis: 4_000, memoryMb: 16_000, gpus: 0 },
-      labels: ["a", "rack"],
-      draining: false,
-      host: host.host,
-    };
-    const bootedAt = this.clock.now();
-    const endpoint = new ModelEndpoint(
-      info,
-      this.clock,
-      bootedAt,
-      clockDrift,
-      this.oracle,
-      (task) => this.#taskModel(task),
-    );
-    this.#endpoints.set(info.id, endpoint);
-    host.endpoint = endpoint;
-    host.state = "up";
-    if (host.pool !== "spare") this.#register(info);
-  }
-
-  #register(info: TaskEndpoint): void {
-    const key = { table: registrationTable, partition: "", key: info.id };
-    this.store.write(key, JSON.stringify(info));
-  }
-
-  #unregister(info: TaskEndpoint): void {
-    const key = { table: registrationTable, partition: "", key: info.id };
-    this.store.write(key, undefined);
-  }
-
-  #watchRegistrations(store: Store, registry: EndpointRegistry): TableWatch {
-    const decode = (row: StoreRow): TaskEndpoint => JSON.parse(row.value);
-    return new TableWatch(store, registrationTable, [""], {
-      reset: (rows) => registry.reset(rows.map(decode)),
-      changed: (changes) =>
-        registry.apply(
-          changes.map((change) =>
-            change.kind === "put"
-              ? { kind: "listed", endpoint: decode(change.row) } as const
-              : { kind: "removed", id: change.row.key } as const
-          ),
-        ),
-    });
-  }
-
-  #hostControl(process: ProcessClock): HostControl {
-    const takeDown = (
-      name: string,
-      sender: OrderSender,
-      pool: string | undefined,
-      downMs: number,
-    ) =>
-      process.deliver(
-        Promise.resolve(this.#takeHostDown(name, sender, pool, downMs)),
-      );
-    return {
-      list: () => process.deliver(Promise.resolve(Ok(this.#listHosts()))),
-      maintain: (host, _wave, sender) =>
-        takeDown(host, sender, undefined, maintenanceDurationMs),
-      move: (host, pool, sender) =>
-        takeDown(host, sender, pool, moveDurationMs),
-    };
-  }
-
-  #listHosts(): readonly ProviderHost[] {
-    return this.hosts.map(({ host, pool, state, endpoint }) => ({
-      host,
-      pool,
-      state,
-      zone: "zone",
-      endpoint: pool === "spare" ? "" : endpoint?.info.id ?? "",
-    }));
-  }
-
-  /** Carries out a host order: ends the endpoint and reboots the host later. */
-  #takeHostDown(
-    name: string,
-    sender: OrderSender,
-    pool: string | undefined,
-    downMs: number,
-  ): HostOrderOutcome {
-    const host = this.hosts.find((h) => h.host === name);
-    if (host === undefined || host.state !== "up") {
-      return { kind: "rejected", reason: "busy" };
-    }
-    const { endpoint } = host;
-    const endedTasks = [...endpoint?.runs.keys() ?? []]
-      .filter((task) => endpoint?.isAvailable(task));
-    this.oracle.hostOrderCarriedOut(name, sender.term, endedTasks);
-    endpoint?.crash();
-    if (endpoint !== undefined) this.#unregister(endpoint.info);
-    host.state = pool === undefined ? "upkeep" : "moving";
-    host.pool = pool ?? host.pool;
-    this.clock.after(downMs, () => this.#bootHost(host));
-    return { kind: "done" };
-  }
 }
--- /dev/null
+++ b/sim/model_orders.ts
@@ -0,0 +1,205 @@
+/**
+ * Model of the network between entries and endpoints. An order goes to the
+ * endpoint that is up at its address when it arrives. The endpoint only checks
+ * the id that the order names, so that an order sent to an earlier incarnation
+ * is carried out by the next one.
+ */
+import type {
+  HoldOrder,
+  HoldOutcome,
+  OrderOutcome,
+  StartOrder,
+  StopOrder,
+  TaskEndpoint,
+  TaskOrders,
+} from "../src/endpoint/index.ts";
+import { type ModelEndpoint, rejected } from "./model_endpoint.ts";
+import type { ProcessClock, VirtualClock } from "./virtual_clock.ts";
+
+/** Shortest network delay of an order or of its answer, in ms. */
+const minOneWayDelayMs = 1;
+
+/** Timeout of an order, in ms; a hold adds the wait that it asks for. */
+const orderTimeoutMs = 1_000;
+
+/** Longest delay of an order that takes effect late, in ms. */
+const maxLateDelayMs = 4_000;
+
+/** Share of orders to an endpoint that is down whose sender learns of it. */
+const refusedShare = 0.5;
+
+const noAnswer = { kind: "unknown", message: "no answer" } as const;
+
+/** State of the network that all processes share. */
+export class ModelNetwork {
+  /**
+   * Longest time in ms by which orders and answers are delayed beyond
+   * {@link minOneWayDelayMs}. Each delay is drawn by itself, so that orders
+   * and answers overtake each other.
+   */
+  maxExtraDelayMs = 0;
+  /** Deliveries that wait for an endpoint to be up at an address. */
+  readonly #waiting = new Map<string, (() => void)[]>();
+
+  /** `endpointAt` finds the endpoint that is up at an address. */
+  constructor(
+    readonly clock: VirtualClock,
+    readonly random: () => number,
+    readonly endpointAt: (address: string) => ModelEndpoint | undefined,
+  ) {}
+
+  /** Draws the delay of an order or of an answer, in ms. */
+  drawDelayMs(): number {
+    if (this.maxExtraDelayMs === 0) return minOneWayDelayMs;
+    return minOneWayDelayMs + this.random() * this.maxExtraDelayMs;
+  }
+
+  /** Calls `deliver` once an endpoint boots at an address. */
+  awaitBoot(address: string, deliver: () => void): void {
+    const waiting = this.#waiting.get(address) ?? [];
+    waiting.push(deliver);
+    this.#waiting.set(address, waiting);
+  }
+
+  /** Delivers what waits for an endpoint at an address, which is now up. */
+  deliverWaiting(address: string): void {
+    const waiting = this.#waiting.get(address) ?? [];
+    this.#waiting.delete(address);
+    for (const deliver of waiting) deliver();
+  }
+}
+
+/** Outcome of a call that reaches no endpoint with the order's id. */
+type FailedCall = ReturnType<typeof rejected> | typeof noAnswer;
+
+/**
+ * Carries out an order at an endpoint. Settles as undefined if the connection
+ * breaks, and never if there is no answer.
+ */
+type OrderHandler<T> = (endpoint: ModelEndpoint) => Promise<T | undefined>;
+
+/** One order on its way to an endpoint, and its answer on the way back. */
+class Call<T> {
+  /** Settles when the sender has an answer or its timeout is over. */
+  readonly outcome: Promise<T | FailedCall>;
+  #resolve: (outcome: T | FailedCall) => void = () => {};
+  /** Whether no endpoint was up at the address when the order arrived. */
+  #isWaiting = false;
+  #isOver = false;
+  readonly #cancelTimeout: () => void;
+
+  constructor(
+    private readonly network: ModelNetwork,
+    private readonly to: TaskEndpoint,
+    timeoutMs: number,
+    private readonly handle: OrderHandler<T>,
+  ) {
+    const { clock } = network;
+    this.outcome = new Promise((resolve) => {
+      this.#resolve = resolve;
+    });
+    this.#cancelTimeout = clock.after(timeoutMs, () => this.#expire());
+    clock.after(network.drawDelayMs(), () => this.#deliver());
+  }
+
+  /**
+   * Hands the order to the endpoint at its address. While none is up there the
+   * sender's connection attempts go on until its timeout.
+   */
+  #deliver(): void {
+    const { network, to } = this;
+    if (this.#isWaiting && this.#isOver) return;
+    const endpoint = network.endpointAt(to.address);
+    this.#isWaiting = endpoint === undefined;
+    if (endpoint === undefined) {
+      network.awaitBoot(to.address, () => this.#deliver());
+    } else if (endpoint.isIsolated) return;
+    else if (endpoint.info.id !== to.id) {
+      this.#answer(endpoint, rejected("other-life"));
+    } else {
+      this.handle(endpoint).then((outcome) => this.#answer(endpoint, outcome));
+    }
+  }
+
+  /** Sends the answer back, also if the endpoint crashes meanwhile. */
+  #answer(endpoint: ModelEndpoint, outcome: T | FailedCall | undefined): void {
+    this.network.clock.after(this.network.drawDelayMs(), () => {
+      if (!endpoint.isIsolated) this.#settle(outcome ?? noAnswer);
+    });
+  }
+
+  #expire(): void {
+    const isRefused = this.#isWaiting && this.network.random() < refusedShare;
+    this.#settle(isRefused ? rejected("unreachable") : noAnswer);
+  }
+
+  #settle(outcome: T | FailedCall): void {
+    this.#isOver = true;
+    this.#cancelTimeout();
+    this.#resolve(outcome);
+  }
+}
+
+/** Sends the orders of one process to the model's endpoints. */
+export class ModelOrders implements TaskOrders {
+  /** Share of start and stop orders that get no answer and take effect late. */
+  lateShare = 0;
+
+  constructor(
+    private readonly process: ProcessClock,
+    private readonly network: ModelNetwork,
+  ) {}
+
+  start(to: TaskEndpoint, order: StartOrder): Promise<OrderOutcome> {
+    return this.#sendOrder(to, (endpoint) => endpoint.start(order));
+  }
+
+  stop(to: TaskEndpoint, order: StopOrder): Promise<OrderOutcome> {
+    return this.#sendOrder(
+      to,
+      (endpoint, isLate) => endpoint.stop(order, isLate),
+    );
+  }
+
+  /** Accepts a pace order and ignores it. */
+  pace(): Promise<OrderOutcome> {
+    return Promise.resolve({ kind: "done", clockMs: undefined });
+  }
+
+  hold(to: TaskEndpoint, order: HoldOrder): Promise<HoldOutcome> {
+    return this.#call<HoldOutcome>(
+      to,
+      orderTimeoutMs + order.waitMs,
+      (endpoint) => endpoint.hold(order),
+    );
+  }
+
+  /**
+   * Sends a start or a stop. An order that takes effect late has reached one
+   * incarnation, and ends with it.
+   */
+  #sendOrder(
+    to: TaskEndpoint,
+    handle: (endpoint: ModelEndpoint, isLate: boolean) => OrderOutcome,
+  ): Promise<OrderOutcome> {
+    const { clock, random } = this.network;
+    return this.#call<OrderOutcome>(to, orderTimeoutMs, (endpoint) => {
+      if (random() >= this.lateShare) {
+        return Promise.resolve(handle(endpoint, false));
+      }
+      clock.after(random() * maxLateDelayMs, () => {
+        if (endpoint.isUp) handle(endpoint, true);
+      });
+      return new Promise(() => {});
+    });
+  }
+
+  #call<T>(
+    to: TaskEndpoint,
+    timeoutMs: number,
+    handle: OrderHandler<T>,
+  ): Promise<T | FailedCall> {
+    const call = new Call<T>(this.network, to, timeoutMs, handle);
+    return this.process.deliver(call.outcome);
+  }
+}
