Name both runs and endpoints when the oracle reports TWICE

The report named the task and the second run only, so a reader could not tell whether both ran at one endpoint. It now names both runs and their endpoints, one report for each run that is still active, and scenarios can read the runs of a task.

--- a/sim/oracle.ts
+++ b/sim/oracle.ts
@@ -47,7 +47,7 @@
 }
 
 /** One run of a task, as its endpoint observed it. Times are in ms. */
-interface RunRecord {
+export interface RunRecord {
   readonly task: string;
   readonly run: number;
   readonly endpoint: string;
@@ -177,8 +177,12 @@
     }
     const runs = this.#runs.get(task) ?? [];
     this.#runs.set(task, runs);
-    if (runs.some((r) => r.endedAt === undefined)) {
-      this.#report("TWICE", `${task} run ${run} started during another run`);
+    for (const other of runs.filter((r) => r.endedAt === undefined)) {
+      this.#report(
+        "TWICE",
+        `${task} run ${run} on ${endpoint} started during run ${other.run} ` +
+          `on ${other.endpoint}`,
+      );
     }
     this.#checkDependencies(record.job, task, Number(step));
     const { cancelledAt } = record;
@@ -271,6 +275,11 @@
     }
   }
 
+  /** The runs of a task, in the order in which endpoints started them. */
+  runsOf(task: string): readonly RunRecord[] {
+    return this.#runs.get(task) ?? [];
+  }
+
   /**
    * Checks the state after all work has ended. `phases` gives the phase of each
    * job as reported to a caller; undefined for a job that is not known.
