--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -7,12 +7,14 @@
  */
 import {
   type JobSpec,
+  parseTaskName,
   type Placement,
   type RunEnd,
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
-import type { TaskEndpoint } from "../endpoint/index.ts";
+import type { RunningTask, TaskEndpoint } from "../endpoint/index.ts";
+import type { DecisionFields } from "../telemetry/index.ts";
 import {
   type DriverDependencies,
   logRunDecision,
@@ -35,6 +37,16 @@
  */
 const endedIncarnation = -1;
 
+/** Number of runs whose start order is in flight. */
+function countStarting({ runs }: EndpointSession): number {
+  return [...runs.values()].filter((r) => r.phase === "starting").length;
+}
+
+/** A time in whole ms for the log; undefined if it is unbounded. */
+function finiteMs(ms: number): number | undefined {
+  return Number.isFinite(ms) ? Math.round(ms) : undefined;
+}
+
 /** Manages the sessions and runs at the endpoints of one shard. */
 export class EndpointDriver implements SessionControl {
   /** Sends the orders that start, stop and pace runs. */
@@ -154,14 +166,51 @@
     session.remove(run);
     this.#runIndex.remove(run);
     if (end !== "done") {
-      logRunDecision(this.deps, "run-over", session, run, `${end}: ${reason}`);
+      const { phase, phaseChangedAt } = run;
+      const phaseMs = Math.round(this.deps.clock.now() - phaseChangedAt);
+      const logFields = { life: session.endpoint.life, phase, phaseMs };
+      const outcome = `${end}: ${reason}`;
+      logRunDecision(this.deps, "run-over", session, run, outcome, logFields);
     }
     this.deps.onRunEnded(run, end, checkpoint);
   }
 
+  adoptListedRun(session: EndpointSession, listed: RunningTask): boolean {
+    const parsed = parseTaskName(listed.task);
+    if (parsed === undefined) return false;
+    const { job, ref } = parsed;
+    this.#withdrawIntendedRun(job, listed);
+    const { id, life } = session.endpoint;
+    const placement = { run: listed.run, endpoint: id, life };
+    const spec = this.deps.adoptPlacement(job, ref, placement);
+    if (spec === undefined) return false;
+    const { checkpoint } = listed;
+    const run = this.#createRun(spec, ref, listed.run, "running", checkpoint);
+    this.#addRun(session, run);
+    logRunDecision(this.deps, "run-adopted", session, run, "listed");
+    return true;
+  }
+
+  /**
+   * Withdraws a run of a listed task whose start has not been sent, so that the
+   * listed run can take its place.
+   */
+  #withdrawIntendedRun(job: string, listed: RunningTask): void {
+    for (const { session, run } of this.#runIndex.ofJob(job)) {
+      if (run.name !== listed.task || run.phase !== "intended") continue;
+      this.finishRun(session, run, "not-started", "another run is listed");
+    }
+  }
+
   endSession(session: EndpointSession, reason: string): void {
     if (session.closed) return;
     session.closed = true;
+    this.#logSession("session-ended", session, {
+      reason,
+      runs: session.runs.size,
+      starting: countStarting(session),
+      listsAgeMs: finiteMs(session.listsAge(this.deps.clock.now())),
+    });
     for (const run of [...session.runs.values()]) {
       this.finishRun(session, run, "lost", reason);
     }
@@ -201,9 +250,22 @@
       const run = this.#createRun(spec, ref, placement.run, "doubtful", "");
       this.#addRun(session, run);
     }
+    this.#logSession("session-opened", session, { adopted: adopted.length });
     this.#holds.holdUntilClosed(session);
   }
 
+  /** Logs that the session of an incarnation was opened or ended. */
+  #logSession(
+    event: string,
+    { endpoint }: EndpointSession,
+    fields: DecisionFields,
+  ): void {
+    const { log, shard, lease } = this.deps;
+    const { id, life } = endpoint;
+    const { term } = lease;
+    log.decision(event, { ...fields, shard, term, endpoint: id, life });
+  }
+
   #createRun(
     spec: JobSpec,
     ref: TaskRef,
--- a/src/scheduler/run_recorder.ts
+++ b/src/scheduler/run_recorder.ts
@@ -1,7 +1,10 @@
 /** Records confirmed and ended runs in the progress of their jobs. */
 import {
+  adoptRun,
   isFinal,
+  type JobSpec,
   markJobRunning,
+  type Placement,
   recordRunEnd,
   type RunEnd,
   taskAt,
@@ -9,7 +12,7 @@
   type TaskRef,
 } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
-import type { DecisionLog } from "../telemetry/index.ts";
+import type { DecisionFields, DecisionLog } from "../telemetry/index.ts";
 import type { Run } from "./endpoint_session.ts";
 import type { JobRegistry } from "./job_registry.ts";
 import type { RunTimes } from "./run_times.ts";
@@ -29,6 +32,18 @@
   readonly onEnd: () => void;
 }
 
+/**
+ * Log fields about the run that a task is placed as, if it is not `run`: a run
+ * that has ended although its task had been placed again.
+ */
+function otherRunFields(
+  run: number,
+  placement: Placement | undefined,
+): DecisionFields {
+  if (placement === undefined || placement.run === run) return {};
+  return { placedRun: placement.run, placedOn: placement.endpoint };
+}
+
 /** Records what becomes of the runs of one shard. */
 export class RunRecorder {
   constructor(private readonly deps: RunRecorderDependencies) {}
@@ -52,6 +67,25 @@
     if (job !== undefined) job.progress = markJobRunning(job.progress);
   }
 
+  /**
+   * Records a listed run as the placement of its task; returns its job, or
+   * undefined if the run is not wanted. Members of a gang are not adopted,
+   * because a gang runs only as a whole.
+   */
+  adoptPlacement(
+    id: string,
+    ref: TaskRef,
+    placement: Placement,
+  ): JobSpec | undefined {
+    const { clock, jobs } = this.deps;
+    const job = jobs.byId.get(id);
+    if (job === undefined || job.spec.steps[ref.step]?.gang) return undefined;
+    const next = adoptRun(job.progress, ref, placement);
+    if (next === undefined) return undefined;
+    jobs.update(job, next, clock.now());
+    return job.spec;
+  }
+
   /** Records the end of a tracked run, or the loss of an orphan run. */
   recordTrackedEnd(run: Run, end: RunEnd, checkpoint: string): void {
     if (end === "done") this.#recordRunTime(run);
@@ -85,6 +119,7 @@
       shard,
       phase: next.phase,
       known: placement?.run === run,
+      ...otherRunFields(run, placement),
     });
     if (isFinal(next.phase)) this.deps.stopJob(id);
     else if (end === "done") this.deps.stopOtherRuns(id, ref, run);
