Reckon with a silent owner through further changes of owner

What callers saw: tasks that ran under an owner without access to the store were started a second time by its successor's successor, up to 3.2 s before their lease could have expired.

Cause: at a takeover only the last holder in the owner row was judged. If it had ended, or released the shard, or was this process, all leases counted as those of an ended owner, which last 5.2 s. But it may itself have taken over from a silent owner just before, whose leases last up to 8.4 s: when its start failed, when its commit had no answer, or when it was replaced soon.

The owner row now says what was known about the owners before, for 10 s after the takeover from a silent one, which is longer than its leases. A takeover takes over that word. `shard-taken` logs it. A row without it reads as before.

--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -17,4 +17,5 @@
   type ProcessIdentity,
   readOwner,
   ShardLease,
+  silentOwnerEffectMs,
 } from "./shard_lease.ts";
--- a/src/cluster/shard_lease.ts
+++ b/src/cluster/shard_lease.ts
@@ -33,6 +33,23 @@
 /** Pause between two attempts to release a shard, in ms. */
 const releaseRetryMs = 150;
 
+/**
+ * Time for which the leases that a silent owner has granted are taken into
+ * account at a change of owner, in ms after the first takeover from it. They
+ * have all expired by then.
+ */
+export const silentOwnerEffectMs = 10_000;
+
+const previousOwners = ["ended", "silent"] as const;
+
+/**
+ * What is known about the previous owners at a takeover. `ended`: the last one
+ * released the shard, or its process has ended, and so had those whose leases
+ * may still last. `silent`: one of them stopped renewing, but may still run
+ * without access to the store.
+ */
+export type PreviousOwner = typeof previousOwners[number];
+
 const ownerSchema = v.object({
   /** Process start of the holder; empty after a release. */
   boot: v.string(),
@@ -42,6 +59,8 @@
   term: v.number(),
   /** Number of commits in this term. */
   commits: v.number(),
+  /** What is known about the owners before, whose leases may still last. */
+  previous: v.optional(v.picklist(previousOwners), "ended"),
 });
 
 /** Decoded value of an owner row. */
@@ -62,13 +81,6 @@
   readonly boot: string;
 }
 
-/** What is known about the previous owner at a takeover. */
-export type PreviousOwner =
-  /** It released the shard, or its process has ended. */
-  | "ended"
-  /** It stopped renewing, but may still run without access to the store. */
-  | "silent";
-
 /** An owner row as read; the version is 0 if the row does not exist. */
 export interface OwnerRow {
   readonly owner: OwnerRecord | undefined;
@@ -100,6 +112,8 @@
 export class ShardLease {
   #version: number;
   #owner: OwnerRecord;
+  /** Monotonic time at which the acquisition began, in ms. */
+  readonly #acquiredAt: number;
   /** Monotonic time at which the last successful commit began, in ms. */
   #renewedAt: number;
   /** Wall-clock time of the same moment, in ms. */
@@ -117,28 +131,31 @@
   ) {
     this.#owner = owner;
     this.#version = version;
+    this.#acquiredAt = startedAt;
     this.#renewedAt = startedAt;
     this.#renewedAtWall = startedAtWall;
   }
 
   /**
-   * Acquires the shard by starting the term after `previous`. Returns undefined
-   * if the owner row has changed since or the commit is not confirmed.
+   * Acquires the shard by starting the term after that of the owner row
+   * `found`. Returns undefined if the row has changed since or the commit is
+   * not confirmed.
    */
   static async acquire(
     store: Store,
     clock: Clock,
     shard: string,
     holder: ProcessIdentity,
-    previous: OwnerRow,
+    found: OwnerRow,
+    previous: PreviousOwner,
   ): Promise<ShardLease | undefined> {
-    const term = (previous.owner?.term ?? 0) + 1;
-    const owner = { ...holder, term, commits: 0 };
+    const term = (found.owner?.term ?? 0) + 1;
+    const owner = { ...holder, term, commits: 0, previous };
     const startedAt = clock.now();
     const startedAtWall = clock.wall();
     const key = ownerRowKey(shard);
     const outcome = await store.commit({
-      checks: [{ ...key, version: previous.version }],
+      checks: [{ ...key, version: found.version }],
       puts: [{ ...key, value: JSON.stringify(owner) }],
       removes: [],
     });
@@ -186,7 +203,7 @@
     removes: readonly StoreRowKey[],
   ): Promise<Result<void, CommitFailure>> {
     return await this.#commitWithOwner(
-      { ...this.#owner, commits: this.#owner.commits + 1 },
+      this.#nextOwner({ commits: this.#owner.commits + 1 }),
       puts,
       removes,
     );
@@ -199,7 +216,7 @@
    */
   async release(): Promise<void> {
     for (let attempt = 0; attempt < maxReleaseAttempts; attempt++) {
-      const owner = { ...this.#owner, boot: "", entry: "" };
+      const owner = this.#nextOwner({ boot: "", entry: "" });
       const released = await this.#commitWithOwner(owner, [], []);
       if (released.ok || released.val.kind === "lost") break;
       await delay(this.clock, releaseRetryMs);
@@ -207,6 +224,15 @@
     this.#lost = true;
   }
 
+  /** Next value of the owner row, with the given changes. */
+  #nextOwner(changes: Partial<OwnerRecord>): OwnerRecord {
+    const heldMs = this.clock.now() - this.#acquiredAt;
+    const previous = heldMs > silentOwnerEffectMs
+      ? "ended"
+      : this.#owner.previous;
+    return { ...this.#owner, previous, ...changes };
+  }
+
   /** Commits the changes together with a new value of the owner row. */
   async #commitWithOwner(
     owner: OwnerRecord,
--- a/src/service/index.ts
+++ b/src/service/index.ts
@@ -4,4 +4,7 @@
   type BatchServiceDependencies,
   type FollowedTable,
 } from "./batch_service.ts";
-export { ShardManager } from "./shard_manager.ts";
+export {
+  ShardManager,
+  type ShardManagerDependencies,
+} from "./shard_manager.ts";
--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -168,21 +168,24 @@
       const isHeld = owner !== undefined && owner.boot !== self.boot &&
         boots.has(owner.boot);
       if (isHeld && !this.#isOwnerSilent(shard, version)) return;
+      const previous = this.#previousOwner(owner);
       const lease = await ShardLease.acquire(
         store,
         clock,
         shard,
         { entry: self.entry, boot: self.boot },
         read.val,
+        previous,
       );
       if (lease === undefined || this.#stopping) return;
       log.decision("shard-taken", {
         shard,
         term: lease.term,
         from: owner?.entry,
+        previous,
         version,
       });
-      await this.#runOwner(shard, lease, this.#previousOwner(owner));
+      await this.#runOwner(shard, lease, previous);
     } finally {
       this.#acquiring.delete(shard);
     }
@@ -199,9 +202,15 @@
     return now - seen.firstSeenAt > memberLeaseMs;
   }
 
-  /** What is known about the previous owner, which may still send orders. */
+  /**
+   * What is known about the previous owners, which may still send orders and
+   * whose leases may still last. The last one may have taken over from a silent
+   * one a short time ago, also if it was this process.
+   */
   #previousOwner(owner: OwnerRecord | undefined): PreviousOwner {
-    if (owner === undefined || owner.boot === "") return "ended";
+    if (owner === undefined) return "ended";
+    if (owner.previous === "silent") return "silent";
+    if (owner.boot === "") return "ended";
     const hasEnded = this.#membership.hasProcessEnded(owner.entry, owner.boot);
     return hasEnded ? "ended" : "silent";
   }
--- a/test/cluster/acquire_lease.ts
+++ b/test/cluster/acquire_lease.ts
@@ -12,8 +12,14 @@
 ): Promise<ShardLease> {
   const row = await readOwner(store, shard);
   const holder = { entry, boot: `${entry}#1` };
-  const previous = row.unwrap();
-  const lease = await ShardLease.acquire(store, clock, shard, holder, previous);
+  const lease = await ShardLease.acquire(
+    store,
+    clock,
+    shard,
+    holder,
+    row.unwrap(),
+    "ended",
+  );
   if (lease === undefined) throw new Error(`${entry} did not get ${shard}`);
   return lease;
 }
