Send no host order after the fleet is released

What callers saw: an entry that shut down released the fleet and went on with the orders of its wave, beside those of the next owner.

Cause: the release ended the loop of the fleet's owner but not the iteration in progress. Orders looked only at the age of the lease, which the release's own commit renews, and not at whether it was lost or released.

Evidence: shard_manager_test, "sends no further order" failed: orders were sent in the second after the release.

The owner is now stopped before its lease is released, and an order is sent only if the owner is not stopped and the lease neither lost nor released.

--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -255,9 +255,11 @@
       isQuiet: false,
       stop: () => {
         stopped = true;
+        owner.stop();
       },
       release: async () => {
         stopped = true;
+        owner.stop();
         await lease.release();
       },
     };
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -119,6 +119,7 @@
   /** Monotonic time until which a host is not moved. */
   readonly #backoffUntil = new Map<string, number>();
   #isLoaded = false;
+  #isStopped = false;
   /** Renewal of the lease that is in progress. */
   #renewal: Promise<boolean> | undefined;
 
@@ -127,10 +128,15 @@
     this.#waveRunner = new WaveRunner({ ...deps, vacates: this.#vacates });
   }
 
+  /** Sends no further orders; those in flight may still be carried out. */
+  stop(): void {
+    this.#isStopped = true;
+  }
+
   /** Runs one iteration; returns the delay until the next, in ms. */
   async reconcile(): Promise<number> {
     const { lease, clock, control, log } = this.deps;
-    if (lease.isLost) return reconcileIntervalMs;
+    if (this.#mayNotAct) return reconcileIntervalMs;
     if (!this.#isLoaded && !await this.#load()) return reconcileIntervalMs;
     const requestedAt = clock.now();
     const listed = await control.list();
@@ -148,6 +154,11 @@
     return reconcileIntervalMs;
   }
 
+  /** Whether the owner is stopped or its lease lost or released. */
+  get #mayNotAct(): boolean {
+    return this.#isStopped || this.deps.lease.isLost;
+  }
+
   /** Loads the state of the previous owner; false on failure. */
   async #load(): Promise<boolean> {
     const { store, clock } = this.deps;
@@ -337,10 +348,10 @@
     maySend: () => boolean = () => true,
   ): Promise<HostOrderOutcome | undefined> {
     const { clock, lease, entry } = this.deps;
-    if (clock.now() < this.#firstOrderAt || !await this.#ensureFreshLease()) {
-      return undefined;
-    }
-    if (!maySend()) return undefined;
+    if (this.#mayNotAct || clock.now() < this.#firstOrderAt) return undefined;
+    if (!await this.#ensureFreshLease()) return undefined;
+    // The lease may have been released or lost during the renewal.
+    if (this.#mayNotAct || !maySend()) return undefined;
     return await send({ entry, term: lease.term });
   }
 
--- a/test/service/shard_manager_test.ts
+++ b/test/service/shard_manager_test.ts
@@ -199,3 +199,18 @@
     assert.deepEqual(poolTakings(), ["silent", "ended"]);
   });
 });
+
+describe("an entry that releases the fleet", () => {
+  // Guards against two senders of host orders (ONE): the orders of a wave went
+  // on after the release, beside those of the next owner.
+  it("sends no further order", async () => {
+    const { start, run, advance, hostOrders } = setUp([]);
+    const manager = start();
+    while (hostOrders.length === 0) await run(manager, 450);
+    manager.release();
+    const sent = hostOrders.length;
+    assert.ok(sent < hostCount);
+    await advance(1_000);
+    assert.equal(hostOrders.length, sent);
+  });
+});
