Settle the starts in flight to an endpoint that restarts under its id

What callers saw: tasks that must run once ran twice at one endpoint, several at the same instant, both runs ordered by one owner; the first run was never stopped, ended as done, and its end was recorded. Cause: an endpoint that restarts keeps its id and its address, and an order is checked by the id alone. When the owner saw the next incarnation it gave up all runs of the earlier one as lost, also those whose start was still in flight. The next incarnation carried these out after the tasks had been placed again. Now runs that the earlier incarnation has never listed are kept as doubtful for the next one: its lists show them, or a stop settles that they cannot begin there any more. Only then, or when every lease has run out, is the task placed again. Runs that were listed died with their incarnation, as before.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -62,6 +62,7 @@
       phaseChangedAt: 0,
       startSentAt: 0,
       stoppedAt: undefined,
+      wasListed: true,
       percent: 0,
       progressedAt: 0,
       load: undefined,
--- a/src/scheduler/driver_dependencies.ts
+++ b/src/scheduler/driver_dependencies.ts
@@ -113,7 +113,11 @@
    * has no other run; returns whether it does.
    */
   adoptListedRun(session: EndpointSession, listed: RunningTask): boolean;
-  /** Ends a session whose endpoint has restarted; its runs end as lost. */
+  /**
+   * Ends a session whose endpoint has restarted. Runs that the endpoint has
+   * never listed are kept for its next incarnation, which may still carry out
+   * their start; the others end as lost.
+   */
   replaceIncarnation(session: EndpointSession): void;
   /** Ends a session; its remaining runs end as lost. */
   endSession(session: EndpointSession, reason: string): void;
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -33,6 +33,13 @@
 import { RunIndex } from "./run_index.ts";
 import { RunOrders } from "./run_orders.ts";
 
+/**
+ * Maximum time for which a run can be in progress whose start was in flight when
+ * its endpoint restarted, in ms: the delivery of the start, and the longest
+ * lease that an endpoint grants.
+ */
+const maxUnsettledStartMs = 12_000;
+
 /** Number of runs whose start order is in flight. */
 function countStarting({ runs }: EndpointSession): number {
   return [...runs.values()].filter((r) => r.phase === "starting").length;
@@ -187,6 +194,7 @@
     if (spec === undefined) return false;
     const { checkpoint } = listed;
     const run = this.#createRun(spec, ref, listed.run, "running", checkpoint);
+    run.wasListed = true;
     this.#addRun(session, run);
     logRunDecision(this.deps, "run-adopted", session, run, "listed");
     return true;
@@ -207,6 +215,14 @@
     if (session.closed) return;
     const { id, life } = session.endpoint;
     this.#endedLives.set(id, life);
+    const leaseEndsBy = this.deps.clock.now() + maxUnsettledStartMs;
+    for (const run of [...session.runs.values()]) {
+      if (run.phase === "intended" || run.wasListed) continue;
+      session.remove(run);
+      this.#runIndex.remove(run);
+      const unsettled = { ...run, stoppedAt: undefined };
+      this.#orphans.add({ run: unsettled, endpoint: id, leaseEndsBy });
+    }
     this.endSession(session, "another life");
   }
 
@@ -317,6 +333,7 @@
       phaseChangedAt: now,
       startSentAt: undefined,
       stoppedAt: undefined,
+      wasListed: false,
       percent: -1,
       progressedAt: now,
       load: undefined,
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -78,6 +78,8 @@
   startSentAt: number | undefined;
   /** Time at which a stop was confirmed. */
   stoppedAt: number | undefined;
+  /** Whether the endpoint has listed it as running. */
+  wasListed: boolean;
   /**
    * Progress that the endpoint listed last, -1 before that. A long-running task
    * reports 100 while it is serving.
@@ -346,6 +348,7 @@
       run.phase = "running";
       run.phaseChangedAt = now;
     }
+    run.wasListed = true;
     if (listed.percent !== run.percent) run.progressedAt = now;
     run.percent = listed.percent;
     run.load = listed.load;
--- a/src/scheduler/orphan_runs.ts
+++ b/src/scheduler/orphan_runs.ts
@@ -1,6 +1,8 @@
 /**
- * Runs that an earlier owner may have started on endpoints for which this owner
- * has no session yet.
+ * Runs that may be in progress at endpoints for which the owner has no session:
+ * runs that an earlier owner may have started, and runs whose start was in
+ * flight when their endpoint restarted. A restarted endpoint keeps its id, so
+ * such a start may still be carried out by its next incarnation.
  */
 import type { Run } from "./endpoint_session.ts";
 
--- a/test/scheduler/sessions.ts
+++ b/test/scheduler/sessions.ts
@@ -50,6 +50,7 @@
     startSentAt: 100,
     ticket: "",
     stoppedAt: undefined,
+    wasListed: true,
     percent: 0,
     progressedAt: 100,
     load: undefined,
