Release a shard that is acquired during a shutdown

What callers saw: jobs of a pool stood still after an entry had shut down while it acquired the pool's shard, until the other entries found it silent.

Cause: an entry that was stopping dropped the lease it had just got, and the owner row went on naming its process.

Evidence: shard_manager_test, "releases the shard" found 'a#1' in both owner rows instead of ''.

The lease is now released.

--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -177,7 +177,11 @@
         read.val,
         previous,
       );
-      if (lease === undefined || this.#stopping) return;
+      if (lease === undefined) return;
+      if (this.#stopping) {
+        await lease.release();
+        return;
+      }
       log.decision("shard-taken", {
         shard,
         term: lease.term,
--- a/test/service/shard_manager_test.ts
+++ b/test/service/shard_manager_test.ts
@@ -214,3 +214,22 @@
     assert.equal(hostOrders.length, sent);
   });
 });
+
+describe("an entry that shuts down while it acquires a shard", () => {
+  // Guards against a shard that nobody serves until its lease has expired.
+  it("releases the shard", async () => {
+    const { model, start, run, advance } = setUp();
+    const manager = start();
+    const owners = () =>
+      model.table(ownerTable).map((r) => JSON.parse(r.value));
+    while (owners().length === 0) {
+      manager.refresh();
+      for (let i = 0; i < 450 && owners().length === 0; i++) await advance(2);
+    }
+    manager.release();
+    await advance(500);
+    assert.deepEqual(owners().map((o) => o.boot), ["", ""]);
+    await run(manager, 1_000);
+    assert.deepEqual(owners().map((o) => o.boot), ["", ""]);
+  });
+});
