Keep a read and the feed of the vacated endpoints from overtaking each other

What callers saw: after a takeover, runs at a living endpoint were given up and started elsewhere, and the endpoint stayed unused by its pool's owner, when the request to vacate it had just been withdrawn.

Cause: the read of the requests at a takeover only added rows to those that the feed had delivered. It set a row again that the feed had removed meanwhile, kept rows that were removed while the entry did not follow the table, and changes of before the read were applied after it.

Evidence: vacating_endpoints_test, on the code before: three of four cases found the endpoint as 'down' instead of no row.

The read is now a full read of the watch: it replaces all rows, unless the feed has delivered a later version meanwhile, and an answer of the feed that was requested before it is ignored; the next poll resumes from the read.

--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -8,15 +8,10 @@
 import { ActorSystem } from "../actors/index.ts";
 import { delay } from "../clock/index.ts";
 import { Intake } from "../intake/index.ts";
-import { mapHandler, StoreBreaker, TableWatch } from "../store/index.ts";
-import {
-  decodeVacate,
-  fleetShard,
-  type VacateState,
-  vacateTable,
-} from "../upkeep/index.ts";
+import { StoreBreaker, type TableWatch } from "../store/index.ts";
 import type { EntryDependencies } from "./entry_dependencies.ts";
 import { ShardManager } from "./shard_manager.ts";
+import { VacatingEndpoints } from "./vacating_endpoints.ts";
 
 /** Long-poll timeout for the table of endpoints to vacate, in ms. */
 const vacatePollMs = 2_000;
@@ -62,8 +57,7 @@
   readonly #actors: ActorSystem;
   readonly #breaker: StoreBreaker;
   readonly #shards: ShardManager;
-  /** Endpoints to vacate, by id. */
-  readonly #vacating = new Map<string, VacateState>();
+  readonly #vacating: VacatingEndpoints;
   /** Tables whose last poll failed. */
   readonly #failingTables = new Set<string>();
   /** Monotonic time of the store's last answer. */
@@ -83,11 +77,12 @@
     this.intake = new Intake(store, clock, store);
     this.#storeAnsweredAt = clock.now();
     this.#actors = new ActorSystem(clock, deps.onCrash);
+    this.#vacating = new VacatingEndpoints(deps.store);
     this.#shards = new ShardManager({
       ...deps,
       store,
-      vacating: () => this.#vacating,
-      refreshVacating: () => this.#refreshVacating(),
+      vacating: () => this.#vacating.states,
+      refreshVacating: async () => (await this.#vacating.refresh()).ok,
       isFollowing: () => deps.followed.every((f) => f.watch.isFollowing),
       onStoreAnswer: () => {
         this.#storeAnsweredAt = clock.now();
@@ -112,18 +107,12 @@
     for (const table of this.deps.followed) {
       this.#actors.loop(table.name, () => this.#follow(table));
     }
-    const vacate = new TableWatch(
-      this.deps.store,
-      vacateTable,
-      [fleetShard],
-      mapHandler(this.#vacating, ({ value }) => decodeVacate(value)),
-    );
     this.#actors.loop(
       "vacate",
       () =>
         this.#follow({
           name: "vacate",
-          watch: vacate,
+          watch: this.#vacating.watch,
           waitMs: vacatePollMs,
           pauseMs: 100,
           onlyWhileActive: true,
@@ -145,19 +134,6 @@
     this.#actors.stop();
   }
 
-  /** Reads the vacate table, in case the feed is behind; false on failure. */
-  async #refreshVacating(): Promise<boolean> {
-    const read = await this.deps.store.range({
-      table: vacateTable,
-      partition: fleetShard,
-    });
-    if (read.err) return false;
-    for (const { key, value } of read.val.rows) {
-      this.#vacating.set(key, decodeVacate(value));
-    }
-    return true;
-  }
-
   /** Polls one table; returns the delay until the next poll, in ms. */
   async #follow(table: FollowedTable): Promise<number> {
     if (table.onlyWhileActive && !this.#shards.isActive) {
--- a/src/service/index.ts
+++ b/src/service/index.ts
@@ -8,3 +8,4 @@
   ShardManager,
   type ShardManagerDependencies,
 } from "./shard_manager.ts";
+export { VacatingEndpoints } from "./vacating_endpoints.ts";
--- a/src/store/table_watch.ts
+++ b/src/store/table_watch.ts
@@ -36,6 +36,8 @@
 export class TableWatch {
   /** Version that the feed resumes from; undefined before a full read. */
   #version: number | undefined;
+  /** Number of full reads; a poll that was sent before the last is stale. */
+  #reads = 0;
   readonly #partitions: ReadonlySet<string>;
 
   constructor(
@@ -59,8 +61,11 @@
 
   /** Delivers changes to the handler, waiting up to `waitMs` for the first. */
   async poll(waitMs: number): Promise<Result<void, StoreFailure>> {
-    if (this.#version === undefined) return await this.#readAll();
+    if (this.#version === undefined) return await this.refresh();
+    const reads = this.#reads;
     const feed = await this.store.feed(this.table, this.#version, waitMs);
+    // The full read since is newer, and the next poll resumes from it.
+    if (reads !== this.#reads) return feed.map(() => undefined);
     if (feed.err) {
       if (feed.val.kind === "expired") this.#version = undefined;
       return feed;
@@ -75,9 +80,10 @@
 
   /**
    * Reads all partitions. The feed resumes from the oldest of these reads, so
-   * that no change is missed.
+   * that no change is missed. May be called during a poll. A read that is older
+   * than what the feed has delivered meanwhile is ignored.
    */
-  async #readAll(): Promise<Result<void, StoreFailure>> {
+  async refresh(): Promise<Result<void, StoreFailure>> {
     const { table } = this;
     const reads = await Promise.all(
       [...this.#partitions].map((partition) =>
@@ -91,7 +97,11 @@
       rows.push(...read.val.rows);
       version = Math.min(version, read.val.version);
     }
+    if (this.#version !== undefined && this.#version > version) {
+      return Ok(undefined);
+    }
     this.#version = version;
+    this.#reads++;
     this.handler.reset(rows);
     return Ok(undefined);
   }
