--- a/src/endpoint/task_orders.ts
+++ b/src/endpoint/task_orders.ts
@@ -73,7 +73,10 @@
   /** The endpoint considers the order malformed. */
   | "invalid";
 
-/** Outcome of a start, stop or pace order; `unknown`: there was no answer. */
+/**
+ * Outcome of a start, stop or pace order; `unknown`: there was no answer, or
+ * one that doesn't tell whether the order was carried out.
+ */
 export type OrderOutcome =
   | { readonly kind: "done"; readonly clockMs: number | undefined }
   | { readonly kind: "rejected"; readonly reason: Rejection }
@@ -129,7 +132,7 @@
   readonly ended: readonly EndedTask[];
 }
 
-/** Outcome of a hold order; `unknown`: there was no answer. */
+/** Outcome of a hold order; `unknown` as in {@link OrderOutcome}. */
 export type HoldOutcome =
   | { readonly kind: "lists"; readonly lists: EndpointLists }
   | { readonly kind: "rejected"; readonly reason: Rejection }
