Take status 200 with a malformed body as an unknown outcome

Callers could lose track of a run: an order answered with 200 and a body that is cut off, not JSON or another object counted as done. For a stop this confirms that the run has ended as soon as a list doesn't contain it, and the task is placed again.

Cause: a body that could not be decoded was treated like an empty one. By the protocol every body of a response contains the endpoint's clock, so one without it doesn't come whole from the endpoint.

The test of decoding expects null for text, and in addition undefined for an empty body.

--- a/test/platform/json_client_test.ts
+++ b/test/platform/json_client_test.ts
@@ -93,8 +93,9 @@
 });
 
 describe("a response", () => {
-  it("is assembled from its chunks, and undefined if it is not JSON", async () => {
+  it("is assembled from its chunks, undefined if empty, null if not JSON", async () => {
     const server = createHttpServer((req, res) => {
+      if (req.url === "/empty") return res.end();
       if (req.url === "/text") return res.end("no JSON");
       res.write('{"name":"caf');
       setTimeout(() => res.end('\u00e9"}'), 20);
@@ -105,8 +106,10 @@
     const call = { method: "GET", timeoutMs: 20 * timeoutMs } as const;
     const parts = await http.call({ ...call, path: "/parts" });
     const text = await http.call({ ...call, path: "/text" });
+    const empty = await http.call({ ...call, path: "/empty" });
     assert.deepEqual(parts, { status: 200, body: { name: "caf\u00e9" } });
-    assert.deepEqual(text, { status: 200, body: undefined });
+    assert.deepEqual(text, { status: 200, body: null });
+    assert.deepEqual(empty, { status: 200, body: undefined });
     await http.close();
     server.close();
   });
--- a/test/platform/task_order_client_test.ts
+++ b/test/platform/task_order_client_test.ts
@@ -28,6 +28,8 @@
 
 /** Failures after the whole order was read, by what the endpoint does. */
 const failuresAfterRead: Readonly<Record<string, Behaviour>> = {
+  "answers 200 with broken JSON": answer(200, '{"clockMs":'),
+  "answers 200 with another object": answer(200, '{"rows":[]}'),
   "answers 204": answer(204, ""),
   "answers 301": answer(301),
   "answers 404": answer(404),
@@ -47,6 +49,10 @@
     kind: "send-and-close",
     text: 'HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{"clock',
   },
+  "sends half a body of unknown length": {
+    kind: "send-and-close",
+    text: 'HTTP/1.1 200 OK\r\n\r\n{"clock',
+  },
   "sends half a rejection of unknown length": {
     kind: "send-and-close",
     text: 'HTTP/1.1 409 Conflict\r\n\r\n{"reason":"la',
