--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -74,10 +74,16 @@
   readonly to?: string;
 }
 
-/** A consistent snapshot of a range, in ascending order of keys. */
+/**
+ * The rows of a range, in ascending order of keys. A long range is read in
+ * pages, each a snapshot of its own.
+ */
 export interface RangeResult {
   readonly rows: readonly StoreRow[];
-  /** Version of the store at the snapshot. */
+  /**
+   * Version of the store at the oldest snapshot; the changes after it complete
+   * the rows.
+   */
   readonly version: number;
 }
 
