Repeat failed reads of a takeover instead of dropping the shard

What callers saw: jobs that had nothing running for many seconds although there was room, after all entries had lost power and on slow links. Cause: an owner that takes a shard over reads its whole inbox and progress. If one of these calls had no answer within its timeout the owner dropped the shard and the next one, often itself, began anew: on a link that does not deliver all rows within 1.8 s that never ended. Evidence: shard_owner_test on the code before, every second read without an answer: start() gave false instead of true. Failed reads are now repeated while the lease is held and renewed; partitions and pages that have arrived are not read again; pages shrink after a timeout and grow again. Loading is given up after 15 s, so that another entry can try.

--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -15,10 +15,7 @@
   isFinal,
   placedTasks,
   progressKey,
-  progressRange,
   readySteps,
-  runTimesKey,
-  singleKeyRange,
 } from "../batch/index.ts";
 import type { CommitFailure } from "../cluster/index.ts";
 import {
@@ -27,11 +24,7 @@
   type StoreRowChange,
   TableWatch,
 } from "../store/index.ts";
-import {
-  DemandReporter,
-  poolDemandKey,
-  type PoolEndpoint,
-} from "../capacity/index.ts";
+import { DemandReporter, type PoolEndpoint } from "../capacity/index.ts";
 import { AdvisedSteps } from "./advised_steps.ts";
 import { RunRecorder } from "./run_recorder.ts";
 import { RunSupervisor } from "./run_supervisor.ts";
@@ -40,6 +33,7 @@
 import { JobRegistry, type TrackedJob } from "./job_registry.ts";
 import { createLateFilter } from "./late_filter.ts";
 import { toPoolEndpoint } from "./pool_endpoint.ts";
+import { ShardLoader } from "./shard_loader.ts";
 import type { ShardDependencies } from "./shard_dependencies.ts";
 import { ShardReports } from "./shard_reports.ts";
 import { Placer } from "./placer.ts";
@@ -184,23 +178,21 @@
 
   /**
    * Reads the stored state and starts the loops. Returns false when the state
-   * cannot be read or the owner has been stopped meanwhile.
+   * cannot be read for long or the owner has been stopped meanwhile.
    */
   async start(): Promise<boolean> {
-    const { store, shard, registry } = this.deps;
-    const [progress, demand, runTimes, isCurrent] = await Promise.all([
-      store.range(progressRange(shard)),
-      store.range(singleKeyRange(poolDemandKey(shard))),
-      store.range(singleKeyRange(runTimesKey(shard))),
-      this.deps.refreshVacating(),
-    ]);
-    if (progress.err || demand.err || runTimes.err) return false;
-    if (!isCurrent || this.#isStopped) return false;
-    this.jobs.loadStoredProgress(progress.val.rows);
-    this.#demandReporter.withdrawInherited(demand.val.rows[0]?.value ?? "");
-    this.#runTimes.load(runTimes.val.rows[0]?.value ?? "");
-    const read = await this.#inbox.poll(0);
-    if (read.err || this.#isStopped) return false;
+    const { registry } = this.deps;
+    const loader = new ShardLoader({
+      ...this.deps,
+      isStopped: () => this.#isStopped,
+      renewLease: () => this.#renewLease(),
+    });
+    const stored = await loader.load();
+    if (stored === undefined) return false;
+    this.jobs.loadStoredProgress(stored.progress);
+    this.#demandReporter.withdrawInherited(stored.demand);
+    this.#runTimes.load(stored.runTimes);
+    if (!await loader.loadInbox(this.#inbox)) return false;
     this.#unsubscribe = registry.onChange(() => this.#refreshEndpoints());
     this.#adoptPlacements();
     this.#refreshEndpoints();
@@ -288,7 +280,7 @@
    * in ms.
    */
   #tick(): Promise<number> {
-    const { clock, lease } = this.deps;
+    const { clock } = this.deps;
     const now = clock.now();
     const wall = clock.wall();
     for (const id of this.jobs.active) {
@@ -304,11 +296,16 @@
       this.#poolEndpoints(now),
       this.#advisedSteps.requiredHosts,
     );
-    if (lease.ageMs > maxCommitIntervalMs) this.commits.flush();
+    this.#renewLease();
     this.requestPass();
     return Promise.resolve(tickPeriodMs);
   }
 
+  /** Renews the lease if nothing has been committed for long. */
+  #renewLease(): void {
+    if (this.deps.lease.ageMs > maxCommitIntervalMs) this.commits.flush();
+  }
+
   /** The endpoints of the pool, for its demand for hosts. */
   #poolEndpoints(now: number): readonly PoolEndpoint[] {
     const vacating = this.deps.vacating();
--- a/src/store/table_watch.ts
+++ b/src/store/table_watch.ts
@@ -3,7 +3,13 @@
  * another full read whenever the feed's history has expired.
  */
 import { Ok, type Result } from "ts-results";
-import type { Store, StoreFailure, StoreRow, StoreRowChange } from "./store.ts";
+import type {
+  RangeResult,
+  Store,
+  StoreFailure,
+  StoreRow,
+  StoreRowChange,
+} from "./store.ts";
 
 /** Receives the content of a followed table. */
 export interface WatchHandler {
@@ -39,6 +45,8 @@
   /** Number of full reads; a poll that was sent before the last is stale. */
   #reads = 0;
   readonly #partitions: ReadonlySet<string>;
+  /** Partitions that a full read which has failed in part has read. */
+  readonly #partialRead = new Map<string, RangeResult>();
 
   constructor(
     private readonly store: Store,
@@ -80,16 +88,13 @@
 
   /**
    * Reads all partitions. The feed resumes from the oldest of these reads, so
-   * that no change is missed. May be called during a poll. A read that is older
+   * that no change is missed; a call after a failed one reads what is missing.
+   * May be called during a poll. A read that is older
    * than what the feed has delivered meanwhile is ignored.
    */
   async refresh(): Promise<Result<void, StoreFailure>> {
-    const { table } = this;
-    const reads = await Promise.all(
-      [...this.#partitions].map((partition) =>
-        this.store.range({ table, partition })
-      ),
-    );
+    const partitions = [...this.#partitions];
+    const reads = await Promise.all(partitions.map((p) => this.#read(p)));
     const rows: StoreRow[] = [];
     let version = Infinity;
     for (const read of reads) {
@@ -97,6 +102,7 @@
       rows.push(...read.val.rows);
       version = Math.min(version, read.val.version);
     }
+    this.#partialRead.clear();
     if (this.#version !== undefined && this.#version > version) {
       return Ok(undefined);
     }
@@ -105,4 +111,13 @@
     this.handler.reset(rows);
     return Ok(undefined);
   }
+
+  /** Reads a partition, unless the last full read got that far before it failed. */
+  async #read(partition: string): Promise<Result<RangeResult, StoreFailure>> {
+    const earlier = this.#partialRead.get(partition);
+    if (earlier !== undefined) return Ok(earlier);
+    const read = await this.store.range({ table: this.table, partition });
+    if (read.ok) this.#partialRead.set(partition, read.val);
+    return read;
+  }
 }
