Answer 503 to no submission whose job this entry may have stored

What callers saw: a job ran although a submission for it was answered with 503, which says that it never runs: the request was a repetition, and an earlier one at the same entry was in flight, had got no answer from the store, or had stored the job.

Cause: whether an attempt may have been applied was known within one submission only. While the store refused calls, a repeated request was refused at once.

Evidence: intake_test, on the code before: three cases got the code 2014 (503) instead of 0 or 3009 (504).

Other entries can't know of it; that question is open.

--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -27,6 +27,7 @@
   type StoreBreaker,
   type StoreFailure,
 } from "../store/index.ts";
+import { RecentSubmissions } from "./recent_submissions.ts";
 
 /** Pause before a failed store call is retried, in ms. */
 const retryPauseMs = 40;
@@ -48,34 +49,63 @@
 
 /**
  * Converts a failure of the store: `recordUnavailable` if the store refused the
- * call, else `recordUnknown`. If an earlier attempt may have been applied, a
- * refusal of a later one does not prove otherwise, and the result is unknown.
+ * call, else `recordUnknown`. If another attempt may have been applied, a
+ * refusal of this one does not prove otherwise, and the result is unknown.
  */
 function toFailure({ kind, message }: StoreFailure, mayBeApplied: boolean) {
   const refused = kind === "refused" && !mayBeApplied;
   return fail(refused ? codes.recordUnavailable : codes.recordUnknown, message);
 }
 
+/** Failure of a submission while the store is known not to answer. */
+const storeSilent: StoreFailure = {
+  kind: "refused",
+  message: "the store does not answer",
+};
+
 /** Serves the callers' requests about jobs from the store. */
 export class Intake {
+  readonly #recent: RecentSubmissions;
+
   constructor(
     private readonly store: Store,
     private readonly clock: Clock,
     /** Open while the store is known not to answer. */
     private readonly breaker: Pick<StoreBreaker, "isOpen">,
-  ) {}
+  ) {
+    this.#recent = new RecentSubmissions(clock);
+  }
 
   /**
    * Stores a job. Fails with `recordUnavailable` when it is certain that the job
    * was not stored, without a call if the store is known not to answer. Fails
-   * with `recordUnknown` when the job may have been stored.
+   * with `recordUnknown` when the job may have been stored, also by another
+   * submission of the same job at this entry.
    */
   async submit(
     req: IntakeRequest,
     spec: JobSpec,
   ): Promise<Result<"accepted", Failure>> {
+    const job = `${req.queue.pool}\n${spec.id}`;
+    this.#recent.begin(job);
+    try {
+      return await this.#store(req, spec, job);
+    } finally {
+      this.#recent.end(job);
+    }
+  }
+
+  /** Stores a job; `job` identifies it among the recent submissions. */
+  async #store(
+    req: IntakeRequest,
+    spec: JobSpec,
+    job: string,
+  ): Promise<Result<"accepted", Failure>> {
+    const recent = this.#recent;
+    if (recent.known(job) === "stored") return Ok("accepted");
     if (this.breaker.isOpen) {
-      return fail(codes.recordUnavailable, "the store does not answer");
+      const mayBeStored = recent.known(job) === "unknown";
+      return toFailure(storeSilent, mayBeStored);
     }
     const key = inboxKey(req.queue.pool, spec.id);
     const tx = {
@@ -84,17 +114,19 @@
       removes: [],
     };
     const startedAt = this.clock.now();
-    let mayBeApplied = false;
     for (;;) {
       const outcome = await this.store.commit(tx);
       // On a conflict the row exists already: it holds the same job.
-      if (outcome.ok) return Ok("accepted");
-      mayBeApplied ||= outcome.val.kind === "unknown";
+      if (outcome.ok) recent.recordStored(job);
+      else if (outcome.val.kind === "unknown") recent.recordUnknown(job);
+      const known = recent.known(job);
+      if (outcome.ok || known === "stored") return Ok("accepted");
+      const mayBeStored = known === "unknown";
       const now = this.clock.now();
-      const giveUpAt = mayBeApplied
+      const giveUpAt = mayBeStored
         ? req.deadline - answerReserveMs
         : Math.min(req.deadline - answerReserveMs, startedAt + refusedRetryMs);
-      if (now >= giveUpAt) return toFailure(outcome.val, mayBeApplied);
+      if (now >= giveUpAt) return toFailure(outcome.val, mayBeStored);
       await delay(this.clock, retryPauseMs);
     }
   }
--- a/test/intake/intake_test.ts
+++ b/test/intake/intake_test.ts
@@ -117,4 +117,41 @@
       assert.equal((await submit(3)).code, 0);
     });
   });
+
+  // Guards against REFUSED: a job whose submission was answered with 503 runs,
+  // because an earlier request for it had stored it or could still do so.
+  describe("that repeats an earlier one for the same job", () => {
+    it("waits for the earlier one, which is in flight", async () => {
+      model.delayFactor = 100;
+      const first = submit(1);
+      for (let ms = 0; ms < 250; ms += 10) await clock.advance(10);
+      model.setBehavior(entry, "refuses");
+      model.delayFactor = 1;
+      const second = submit(1);
+      assert.equal((await second).code, 0);
+      assert.equal((await first).code, 0);
+    });
+
+    it("is not rejected after the earlier one had no answer", async () => {
+      model.setBehavior(entry, "silent");
+      assert.equal((await submit(1)).code, codes.recordUnknown.code);
+      model.setBehavior(entry, "refuses");
+      await poll(5);
+      assert.equal((await submit(1)).code, codes.recordUnknown.code);
+      assert.equal((await submit(2)).code, codes.recordUnavailable.code);
+    });
+
+    it("is accepted without the store after the earlier one", async () => {
+      assert.equal((await submit(1)).code, 0);
+      model.setBehavior(entry, "refuses");
+      await poll(5);
+      assert.equal((await submit(1)).code, 0);
+    });
+
+    it("is rejected if the earlier one was", async () => {
+      model.setBehavior(entry, "refuses");
+      assert.equal((await submit(1)).code, codes.recordUnavailable.code);
+      assert.equal((await submit(1)).code, codes.recordUnavailable.code);
+    });
+  });
 });
