--- a/sim/model_registrations.ts
+++ b/sim/model_registrations.ts
@@ -11,9 +11,6 @@
 /** Table in which endpoints register. */
 const registrationTable = "registrations";
 
-/** Start of an incarnation that a row without one is read as. */
-const missingLife = 0;
-
 /** Time by which an older row's start precedes the true one, in ms. */
 const olderLifeMs = 60_000;
 
@@ -44,11 +41,14 @@
   readonly value: string | undefined;
 }
 
-/** Decodes a row as a reader does; undefined if it can't be read. */
+/**
+ * Decodes a row as a reader does; undefined if it can't be read or does not
+ * tell the start of the incarnation.
+ */
 function decodeRow(value: string): TaskEndpoint | undefined {
   try {
     const row: RegistrationRow = JSON.parse(value);
-    return { ...row as TaskEndpoint, life: row.life ?? missingLife };
+    return row.life === undefined ? undefined : row as TaskEndpoint;
   } catch {
     return undefined;
   }
