--- a/test/platform/stand_in_server.ts
+++ b/test/platform/stand_in_server.ts
@@ -124,6 +124,7 @@
     const readAt = performance.timeOrigin + performance.now();
     this.orders.push({ path, task, incarnation, readAt });
     if (waitMs !== undefined && waitMs > 0) {
+      // Without the field that tells the incarnation, which is optional.
       const lists = JSON.stringify({ clockMs: 1, running: [], finished: [] });
       setTimeout(() => socket.write(responseText(200, lists)), waitMs);
       return;
--- a/test/platform/task_order_client_test.ts
+++ b/test/platform/task_order_client_test.ts
@@ -153,6 +153,17 @@
     }
   });
 
+  // Guards against ending a session, which gives up all of its runs.
+  describe("lists that don't tell the incarnation", () => {
+    it("are of the one that the hold was for", async () => {
+      const port = await standIns.open(answer(200, accepted));
+      const order = { term: 1, recordedSeq: 0, waitMs: 1 };
+      const outcome = await client.hold(endpointAt(port, 7), order);
+      const lists = { clockMs: 1, life: 7, running: [], ended: [] };
+      assert.deepEqual(outcome, { kind: "lists", lists });
+    });
+  });
+
   describe("an order that can't be sent", () => {
     it("is rejected as unreachable when the port refuses", async () => {
       const port = await standIns.open(answer(200, accepted));
