Send no queued orders of an incarnation to the next one

Callers saw tasks that must run once run twice at an endpoint that had restarted, although their owner ordered both runs: the session of the earlier incarnation had given up the first run, and its start was sent afterwards.

Cause: orders beyond the five connections to an endpoint wait in the client. An endpoint that restarts may keep its id and address; its connections break, the client opens new ones and sends what waits to the new incarnation, which has seen no fencing token and carries it out.

`endIncarnation` ends the calls of one at once: those that wait for a connection are never sent and count as rejected, those that have been sent are unknown and their connections are reset. Sessions don't call `endIncarnation` yet. The model of the simulation sends each order at once and has nothing to end.

Orders that were written but not read when the process ends are not read by the next one; a process that was only paused reads them when it resumes, after their calls have ended. These stay unknown.

--- a/sim/model_endpoints.ts
+++ b/sim/model_endpoints.ts
@@ -349,6 +349,9 @@
     return this.process.deliver(this.#sendHold(to, order));
   }
 
+  /** The model sends each order at once, so that there is none to end. */
+  endIncarnation(): void {}
+
   async #sendHold(to: TaskEndpoint, order: HoldOrder): Promise<HoldOutcome> {
     await this.#wait(oneWayDelayMs);
     const endpoint = this.#findReachable(to);
--- a/src/endpoint/task_orders.ts
+++ b/src/endpoint/task_orders.ts
@@ -68,7 +68,10 @@
   | "other-life"
   /** The endpoint reports that it is unhealthy or overloaded. */
   | "unhealthy"
-  /** No connection could be opened, so the order was not sent. */
+  /**
+   * The order was not sent: no connection could be opened, or the incarnation
+   * ended while the order waited for one.
+   */
   | "unreachable"
   /** The endpoint considers the order malformed. */
   | "invalid";
@@ -144,4 +147,11 @@
   stop(to: TaskEndpoint, order: StopOrder): Promise<OrderOutcome>;
   pace(to: TaskEndpoint, order: PaceOrder): Promise<OrderOutcome>;
   hold(to: TaskEndpoint, order: HoldOrder): Promise<HoldOutcome>;
+  /**
+   * Ends all orders to one incarnation, as its session has ended. Those that
+   * have not been sent are never sent and count as rejected; those that have
+   * been are unknown. The next incarnation, which may have the same id and
+   * address, receives none of the former.
+   */
+  endIncarnation(of: TaskEndpoint): void;
 }
--- a/test/platform/stand_in.ts
+++ b/test/platform/stand_in.ts
@@ -41,9 +41,9 @@
     });
   }
 
-  /** Opens a stand-in; returns its port. */
-  async open(behaviour: Behaviour): Promise<number> {
-    return await this.#ask({ kind: "open", behaviour }) as number;
+  /** Opens a stand-in at a port, by default at any; returns the port. */
+  async open(behaviour: Behaviour, port = 0): Promise<number> {
+    return await this.#ask({ kind: "open", port, behaviour }) as number;
   }
 
   async behave(port: number, behaviour: Behaviour): Promise<void> {
--- a/test/platform/stand_in_server.ts
+++ b/test/platform/stand_in_server.ts
@@ -41,7 +41,7 @@
 
 /** A request to the worker thread. */
 export type StandInRequest =
-  | { readonly kind: "open"; readonly behaviour: Behaviour }
+  | { readonly kind: "open"; readonly port: number; behaviour: Behaviour }
   | { readonly kind: "behave"; readonly port: number; behaviour: Behaviour }
   | { readonly kind: "restart"; readonly port: number }
   | { readonly kind: "stop"; readonly port: number }
@@ -168,7 +168,7 @@
   const handle = async (request: StandInRequest): Promise<unknown> => {
     if (request.kind === "open") {
       const server = new StandInServer(request.behaviour);
-      const port = await server.listen(0);
+      const port = await server.listen(request.port);
       servers.set(port, server);
       return port;
     }
