--- a/sim/model_orders.ts
+++ b/sim/model_orders.ts
@@ -166,6 +166,9 @@
     return Promise.resolve({ kind: "done", clockMs: undefined });
   }
 
+  /** The model sends each order at once, so that there is none to end. */
+  endIncarnation(): void {}
+
   hold(to: TaskEndpoint, order: HoldOrder): Promise<HoldOutcome> {
     return this.#call<HoldOutcome>(
       to,
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -229,6 +229,7 @@
   endSession(session: EndpointSession, reason: string): void {
     if (session.closed) return;
     session.closed = true;
+    this.deps.orders.endIncarnation(session.endpoint);
     this.#logSession("session-ended", session, {
       reason,
       runs: session.runs.size,
--- a/test/platform/stand_in_server.ts
+++ b/test/platform/stand_in_server.ts
@@ -41,7 +41,7 @@
 
 /** A request to the worker thread. */
 export type StandInRequest =
-  | { readonly kind: "open"; readonly behaviour: Behaviour }
+  | { readonly kind: "open"; readonly port: number; behaviour: Behaviour }
   | { readonly kind: "behave"; readonly port: number; behaviour: Behaviour }
   | { readonly kind: "restart"; readonly port: number }
   | { readonly kind: "stop"; readonly port: number }
@@ -124,6 +124,7 @@
     const readAt = performance.timeOrigin + performance.now();
     this.orders.push({ path, task, incarnation, readAt });
     if (waitMs !== undefined && waitMs > 0) {
+      // Without the field that tells the incarnation, which is optional.
       const lists = JSON.stringify({ clockMs: 1, running: [], finished: [] });
       setTimeout(() => socket.write(responseText(200, lists)), waitMs);
       return;
@@ -167,7 +168,7 @@
   const handle = async (request: StandInRequest): Promise<unknown> => {
     if (request.kind === "open") {
       const server = new StandInServer(request.behaviour);
-      const port = await server.listen(0);
+      const port = await server.listen(request.port);
       servers.set(port, server);
       return port;
     }
--- a/test/service/shard_manager_test.ts
+++ b/test/service/shard_manager_test.ts
@@ -56,7 +56,13 @@
   const deps: ShardManagerDependencies = {
     self: { entry: "a", boot: "a#1", zone: "z", cores: 1 },
     store,
-    orders: { start: unused, stop: unused, pace: unused, hold: unused },
+    orders: {
+      start: unused,
+      stop: unused,
+      pace: unused,
+      hold: unused,
+      endIncarnation: () => {},
+    },
     advisor: { advise: unused },
     control: {
       list: () => Promise.resolve(Ok(hosts)),
