Decide drains of a wave after its failures, one at a time after the first

With lost answers of commits a wave over hosts that all fail lost five hosts instead of two.

Cause: a failed host no longer counts as out of service, so its place was given to the next host at once, while the outcome of the other was still open. And the actions of a round, its drains included, were computed before the round's checks: a drain followed a failure of the same round, and was possible before the state `stopped` of two failed hosts was committed.

Now the wave advances the hosts that are out of service, updates its state, and only then decides on drains. After a failure at most one host is out of service until a host has come back healthy, so hosts that fail for one cause cost no more than `parallel` hosts, or two, whatever the rounds in which they are found. Availability budgets are checked by the drain as before.

--- a/src/maintenance/wave.ts
+++ b/src/maintenance/wave.ts
@@ -3,7 +3,10 @@
  * returned to service, within the pools' budgets and beginning with a canary.
  *
  * A wave stops by itself when its canary or several of its hosts fail, because
- * the remaining hosts would probably fail for the same cause.
+ * the remaining hosts would probably fail for the same cause. After a first
+ * failure it drains one host at a time until a host comes back healthy, so hosts
+ * that fail for one cause are at most as many as may be out of service at once,
+ * or two.
  */
 import { Ok, type Result } from "ts-results";
 import * as v from "valibot";
@@ -147,34 +150,66 @@
   /** Checks whether the host has rebooted since `boot` and is healthy. */
   | { readonly kind: "check"; readonly host: string; readonly boot: string };
 
-/** The next actions of a wave, derived from its state and its hosts' rows. */
+/**
+ * The next actions of a wave, derived from its state and its hosts' rows. The
+ * actions on hosts that are out of service precede the drains; their outcomes
+ * decide whether a host may be drained.
+ */
 export function waveActions(wave: Wave, hosts: HostMap): readonly WaveAction[] {
-  const actions: WaveAction[] = [];
-  let outOfService = 0;
-  for (const step of wave.hosts) {
-    const host = hosts.get(step.host);
-    if (step.step === "draining") {
-      outOfService++;
-      if (host?.state === "drained" && host.cause === wave.id) {
-        actions.push({ kind: "reboot", host: step.host });
-      }
-    } else if (step.step === "rebooting") {
-      outOfService++;
-      actions.push({ kind: "check", host: step.host, boot: step.boot ?? "" });
-    }
+  const outOfService = wave.hosts.filter(isOutOfService);
+  const waiting = wave.hosts.filter((s) => s.step === "waiting");
+  const places = Math.max(0, drainLimit(wave) - outOfService.length);
+  return [
+    ...outOfService.flatMap((step) => progressActions(wave, step, hosts)),
+    ...waiting.slice(0, places).map((step): WaveAction => ({
+      kind: "drain",
+      host: step.host,
+    })),
+  ];
+}
+
+function isOutOfService(step: WaveStep): boolean {
+  return step.step === "draining" || step.step === "rebooting";
+}
+
+/** The next action on a host that is out of service; none while it drains. */
+function progressActions(
+  wave: Wave,
+  step: WaveStep,
+  hosts: HostMap,
+): readonly WaveAction[] {
+  if (step.step === "rebooting") {
+    return [{ kind: "check", host: step.host, boot: step.boot ?? "" }];
   }
-  const limit = wave.state === "canary" ? 1 : wave.parallel;
-  if (wave.state !== "canary" && wave.state !== "running") return actions;
-  const canaryStarted = wave.state === "canary" &&
-    wave.hosts.some((s) => s.step !== "waiting");
-  if (canaryStarted) return actions;
-  for (const step of wave.hosts) {
-    if (step.step !== "waiting") continue;
-    if (outOfService >= limit) break;
-    outOfService++;
-    actions.push({ kind: "drain", host: step.host });
+  const host = hosts.get(step.host);
+  const drained = host?.state === "drained" && host.cause === wave.id;
+  return drained ? [{ kind: "reboot", host: step.host }] : [];
+}
+
+/**
+ * Number of hosts up to which the wave drains further ones; 0 when its state
+ * allows no drain or is about to change.
+ */
+function drainLimit(wave: Wave): number {
+  if (updateWaveState(wave) !== wave) return 0;
+  if (wave.state === "canary") {
+    return wave.hosts.every((s) => s.step === "waiting") ? 1 : 0;
   }
-  return actions;
+  if (wave.state !== "running") return 0;
+  return lastOutcomeIsFailure(wave) ? 1 : wave.parallel;
+}
+
+/** Whether no host has come back healthy since the last failure. */
+function lastOutcomeIsFailure(wave: Wave): boolean {
+  const failed = wave.hosts.filter((s) => s.step === "failed");
+  if (failed.length === 0) return false;
+  const done = wave.hosts.filter((s) => s.step === "done");
+  return latestStart(failed) >= latestStart(done);
+}
+
+/** Wall-clock time in ms of the latest start of a step; -Infinity for none. */
+function latestStart(steps: readonly WaveStep[]): number {
+  return Math.max(...steps.map((s) => s.since));
 }
 
 /** Returns the wave with one host at a step that begins at `now`. */
--- a/src/maintenance/wave_driver.ts
+++ b/src/maintenance/wave_driver.ts
@@ -24,14 +24,39 @@
     },
   ) {}
 
-  /** Performs the next actions of a wave and updates its state. */
+  /**
+   * Advances the hosts that are out of service, updates the wave's state, and
+   * then drains the hosts that the new state allows.
+   */
   async advance(fleet: FleetSnapshot, stored: DecodedRow<Wave>): Promise<void> {
-    let wave: DecodedRow<Wave> = stored;
-    for (const action of waveActions(wave.value, fleet.byName)) {
+    const advanced = await this.#executeActions(
+      fleet,
+      stored,
+      (action) => action.kind !== "drain",
+    );
+    const next = updateWaveState(advanced.value);
+    const reviewed = next === advanced.value
+      ? advanced
+      : await this.#commitWave(fleet, advanced, next);
+    await this.#executeActions(
+      fleet,
+      reviewed,
+      (action) => action.kind === "drain",
+    );
+  }
+
+  /** Performs the next actions that `selects` accepts; returns the new row. */
+  async #executeActions(
+    fleet: FleetSnapshot,
+    stored: DecodedRow<Wave>,
+    selects: (action: WaveAction) => boolean,
+  ): Promise<DecodedRow<Wave>> {
+    let wave = stored;
+    const actions = waveActions(wave.value, fleet.byName).filter(selects);
+    for (const action of actions) {
       wave = await this.#execute(fleet, wave, action);
     }
-    const next = updateWaveState(wave.value);
-    if (next !== wave.value) await this.#commitWave(fleet, wave, next);
+    return wave;
   }
 
   /** Commits a wave's row; returns the old row when the commit failed. */
