--- a/src/peers/mesh.ts
+++ b/src/peers/mesh.ts
@@ -137,11 +137,6 @@
     }));
   }
 
-  /** Whether a peer is connected. */
-  isConnected(entry: string): boolean {
-    return this.#peers.has(entry);
-  }
-
   /** Sends a message to one peer; false when it is not connected. */
   send(entry: string, message: Message): boolean {
     const peer = this.#peers.get(entry);
--- a/src/pipeline/slot_scheduler.ts
+++ b/src/pipeline/slot_scheduler.ts
@@ -295,15 +295,6 @@
     hostSlots.health = markEjected(hostSlots.health, this.clock.now());
   }
 
-  /** Returns the ids of a pool's waiting tickets, by class, oldest first. */
-  waitingIds(pool: string): readonly string[] {
-    const ids: string[] = [];
-    for (const queue of this.#pools.get(pool)?.classes.values() ?? []) {
-      ids.push(...queue.waiting.keys());
-    }
-    return ids;
-  }
-
   /** Returns the queue of a class, with the class's newest row. */
   #queueOf(row: ClassRow): ClassQueue {
     let pool = this.#pools.get(row.pool);
