--- a/src/pipeline/index.ts
+++ b/src/pipeline/index.ts
@@ -8,12 +8,8 @@
 } from "./request.ts";
 export { Admission } from "./admission.ts";
 export { RetryBudget } from "./retry_budget.ts";
-export {
-  type PoolLoad,
-  type SlotOutcome,
-  SlotScheduler,
-  type Ticket,
-} from "./slot_scheduler.ts";
+export { type PoolLoad, SlotScheduler } from "./slot_scheduler.ts";
+export type { SlotOutcome, Ticket } from "./ticket.ts";
 export { LocalSlots, type SendGuard } from "./local_slots.ts";
 export { SlotClient } from "./slot_client.ts";
 export { SlotServer } from "./slot_server.ts";
--- a/src/pipeline/local_slots.ts
+++ b/src/pipeline/local_slots.ts
@@ -12,7 +12,8 @@
 import { type EndpointClient, isStream } from "../endpoint/index.ts";
 import type { Host } from "../hosts/index.ts";
 import type { EndpointRequest, Outcome } from "./request.ts";
-import type { SlotOutcome, SlotScheduler } from "./slot_scheduler.ts";
+import type { SlotScheduler } from "./slot_scheduler.ts";
+import type { SlotOutcome } from "./ticket.ts";
 
 /** Interval in ms between queries whether a run is still in progress. */
 const runQueryIntervalMs = 300;
