--- a/src/operator/index.ts
+++ b/src/operator/index.ts
@@ -1,4 +1,5 @@
 /** The operator API: server, client and schemas. */
-export { OperatorApi, type OperatorApiDependencies } from "./api.ts";
+export { OperatorApi } from "./api.ts";
+export type { OperatorApiDependencies } from "./route.ts";
 export { OperatorClient, type OperatorClientOptions } from "./client.ts";
 export * from "./api_types.ts";
