Reboot failed hosts again when a wave is resumed

What operators saw: `wave resume ID` is documented to retry the failed hosts, but after it the wave stayed `running` and did nothing: all hosts stayed `waiting`.

Cause: resuming sets failed hosts back to `waiting`, and the wave then tried to drain them. Their rows are still `out`, which a drain refuses, and the refused drains held the places of the wave. On that code the new test fails: that is resumed after failures: reboots the failed hosts again and goes on: four hosts are 'waiting' instead of 'done'

A waiting host that the wave itself has taken out is now rebooted again, within the same limit as a drain. Maintenance raises the host's epoch, so the request has a new operation id and the platform performs it. The host counts as unavailable before and after, so it needs no budget.

--- a/src/maintenance/wave.ts
+++ b/src/maintenance/wave.ts
@@ -146,14 +146,16 @@
 /** An action that the controller performs for a wave. */
 export type WaveAction =
   | { readonly kind: "drain"; readonly host: string }
+  /** Reboots a host again that failed before the wave was resumed. */
+  | { readonly kind: "retry"; readonly host: string }
   | { readonly kind: "reboot"; readonly host: string }
   /** Checks whether the host has rebooted since `boot` and is healthy. */
   | { readonly kind: "check"; readonly host: string; readonly boot: string };
 
 /**
  * The next actions of a wave, derived from its state and its hosts' rows. The
- * actions on hosts that are out of service precede the drains; their outcomes
- * decide whether a host may be drained.
+ * actions on hosts in progress precede those on further hosts; their outcomes
+ * decide whether a further host may be taken out of service.
  */
 export function waveActions(wave: Wave, hosts: HostMap): readonly WaveAction[] {
   const outOfService = wave.hosts.filter(isOutOfService);
@@ -161,13 +163,22 @@
   const places = Math.max(0, drainLimit(wave) - outOfService.length);
   return [
     ...outOfService.flatMap((step) => progressActions(wave, step, hosts)),
-    ...waiting.slice(0, places).map((step): WaveAction => ({
-      kind: "drain",
-      host: step.host,
-    })),
+    ...waiting.slice(0, places).map((step) => firstAction(wave, step, hosts)),
   ];
 }
 
+/** Whether an action takes a further host out of service for the wave. */
+export function beginsStep(action: WaveAction): boolean {
+  return action.kind === "drain" || action.kind === "retry";
+}
+
+/** The first action on a waiting host; one that the wave took out is kept out. */
+function firstAction(wave: Wave, step: WaveStep, hosts: HostMap): WaveAction {
+  const host = hosts.get(step.host);
+  const takenOut = host?.state === "out" && host.cause === wave.id;
+  return { kind: takenOut ? "retry" : "drain", host: step.host };
+}
+
 function isOutOfService(step: WaveStep): boolean {
   return step.step === "draining" || step.step === "rebooting";
 }
--- a/src/maintenance/wave_driver.ts
+++ b/src/maintenance/wave_driver.ts
@@ -9,6 +9,7 @@
 import { drainHost } from "./drain.ts";
 import type { FleetSnapshot, HostRowWriter } from "./host_row_writer.ts";
 import {
+  beginsStep,
   updateWaveState,
   type Wave,
   type WaveAction,
@@ -25,24 +26,20 @@
   ) {}
 
   /**
-   * Advances the hosts that are out of service, updates the wave's state, and
-   * then drains the hosts that the new state allows.
+   * Advances the hosts in progress, updates the wave's state, and then takes out
+   * of service the hosts that the new state allows.
    */
   async advance(fleet: FleetSnapshot, stored: DecodedRow<Wave>): Promise<void> {
     const advanced = await this.#executeActions(
       fleet,
       stored,
-      (action) => action.kind !== "drain",
+      (action) => !beginsStep(action),
     );
     const next = updateWaveState(advanced.value);
     const reviewed = next === advanced.value
       ? advanced
       : await this.#commitWave(fleet, advanced, next);
-    await this.#executeActions(
-      fleet,
-      reviewed,
-      (action) => action.kind === "drain",
-    );
+    await this.#executeActions(fleet, reviewed, beginsStep);
   }
 
   /** Performs the next actions that `selects` accepts; returns the new row. */
@@ -94,6 +91,7 @@
       case "drain":
         return await this.#drainHost(fleet, wave, action.host);
       case "reboot":
+      case "retry":
         return await this.#startReboot(fleet, wave, action.host);
       case "check":
         return await this.#checkBoot(fleet, wave, action.host, action.boot);
@@ -119,7 +117,7 @@
     return { key: wave.key, version: drained.val.version, value: next };
   }
 
-  /** Puts a drained host under maintenance and requests its reboot. */
+  /** Puts a host that is out of service under maintenance and reboots it. */
   async #startReboot(
     fleet: FleetSnapshot,
     wave: DecodedRow<Wave>,
--- a/test/maintenance/wave_fleet.ts
+++ b/test/maintenance/wave_fleet.ts
@@ -9,9 +9,11 @@
 import type { EndpointClient } from "../../src/endpoint/index.ts";
 import { type Host, hostKey } from "../../src/hosts/index.ts";
 import {
+  commandWave,
   Controller,
   planWave,
   type Wave,
+  type WaveCommand,
   waveKey,
   type WaveStep,
 } from "../../src/maintenance/index.ts";
@@ -41,7 +43,8 @@
     const wave = planWave(waveId, hosts, parallel, this.clock.wall());
     this.#write(waveKey(waveId), { ...wave, state: "running" });
     this.#write(termKey, {});
-    this.platform.onReboot = (name) => this.#boots.set(name, 1);
+    this.platform.onReboot = (name) =>
+      this.#boots.set(name, (this.#boots.get(name) ?? 0) + 1);
     this.#controller = new Controller({
       platform: this.platform,
       endpoints: this.#endpoints(),
@@ -69,6 +72,12 @@
     }
   }
 
+  /** Applies an operator's command to the wave; throws if it is refused. */
+  command(command: WaveCommand): void {
+    const wave = commandWave(this.wave(), command).unwrap();
+    this.#write(waveKey(waveId), wave);
+  }
+
   /** The wave's row as committed. */
   wave(): Wave {
     return this.platform.rows.get(waveKey(waveId))?.value as Wave;
@@ -91,7 +100,8 @@
       if (remaining === undefined) return step;
       this.failingReboot.add(step.host);
       this.#boots.set(step.host, 1);
-      this.#write(hostKey(step.host), { ...makeHost(step.host), state: "out" });
+      const host = { ...makeHost(step.host), state: "out", cause: waveId };
+      this.#write(hostKey(step.host), host);
       const since = at + remaining;
       return { ...step, step: "rebooting", since, boot: `${step.host}-0` };
     });
--- a/test/maintenance/wave_test.ts
+++ b/test/maintenance/wave_test.ts
@@ -92,4 +92,23 @@
       assert.equal(fleet.wave().state, "done");
     });
   });
+
+  describe("that is resumed after failures", () => {
+    // Guards against a wave that tries in vain to drain hosts that it took out.
+    it("reboots the failed hosts again and goes on", async () => {
+      const fleet = new WaveFleet(4, 2);
+      fleet.failSoon({ "h-1": -1, "h-2": -1 });
+      await fleet.runRounds(2, roundMs);
+      assert.equal(fleet.wave().state, "stopped");
+      fleet.failingReboot.clear();
+      fleet.command("resume");
+      await fleet.runRounds(20, roundMs);
+      assert.deepEqual(fleet.steps(), Array(4).fill("done"));
+      assert.deepEqual(fleet.platform.rebootedHosts.slice(0, 2), [
+        "h-1",
+        "h-2",
+      ]);
+      assert.equal(fleet.wave().state, "done");
+    });
+  });
 });
