--- a/src/maintenance/wave_driver.ts
+++ b/src/maintenance/wave_driver.ts
@@ -9,6 +9,7 @@
 import { drainHost } from "./drain.ts";
 import type { FleetSnapshot, HostRowWriter } from "./host_row_writer.ts";
 import {
+  beginsStep,
   updateWaveState,
   type Wave,
   type WaveAction,
@@ -24,14 +25,35 @@
     },
   ) {}
 
-  /** Performs the next actions of a wave and updates its state. */
+  /**
+   * Advances the hosts in progress, updates the wave's state, and then takes out
+   * of service the hosts that the new state allows.
+   */
   async advance(fleet: FleetSnapshot, stored: DecodedRow<Wave>): Promise<void> {
-    let wave: DecodedRow<Wave> = stored;
-    for (const action of waveActions(wave.value, fleet.byName)) {
+    const advanced = await this.#executeActions(
+      fleet,
+      stored,
+      (action) => !beginsStep(action),
+    );
+    const next = updateWaveState(advanced.value);
+    const reviewed = next === advanced.value
+      ? advanced
+      : await this.#commitWave(fleet, advanced, next);
+    await this.#executeActions(fleet, reviewed, beginsStep);
+  }
+
+  /** Performs the next actions that `selects` accepts; returns the new row. */
+  async #executeActions(
+    fleet: FleetSnapshot,
+    stored: DecodedRow<Wave>,
+    selects: (action: WaveAction) => boolean,
+  ): Promise<DecodedRow<Wave>> {
+    let wave = stored;
+    const actions = waveActions(wave.value, fleet.byName).filter(selects);
+    for (const action of actions) {
       wave = await this.#execute(fleet, wave, action);
     }
-    const next = updateWaveState(wave.value);
-    if (next !== wave.value) await this.#commitWave(fleet, wave, next);
+    return wave;
   }
 
   /** Commits a wave's row; returns the old row when the commit failed. */
@@ -69,6 +91,7 @@
       case "drain":
         return await this.#drainHost(fleet, wave, action.host);
       case "reboot":
+      case "retry":
         return await this.#startReboot(fleet, wave, action.host);
       case "check":
         return await this.#checkBoot(fleet, wave, action.host, action.boot);
@@ -94,7 +117,7 @@
     return { key: wave.key, version: drained.val.version, value: next };
   }
 
-  /** Puts a drained host under maintenance and requests its reboot. */
+  /** Puts a host that is out of service under maintenance and reboots it. */
   async #startReboot(
     fleet: FleetSnapshot,
     wave: DecodedRow<Wave>,
