--- a/src/commands/table.ts
+++ b/src/commands/table.ts
@@ -10,11 +10,13 @@
   tableReplySchema,
 } from "../operator/index.ts";
 import {
+  type ClassRow,
   type Edit,
   fromCsv,
   parseRowFields,
   Table,
   toCsv,
+  type VersionedRow,
 } from "../table/index.ts";
 import {
   type ClientOptionValues,
@@ -29,6 +31,20 @@
 /** Number of audit records that `table history` searches for edits. */
 const maxHistoryRecords = 1_000;
 
+/** Columns of a class that `table show` prints after its name and version. */
+const classColumns = [
+  "pool",
+  "urgency",
+  "repeat",
+  "weight",
+  "price",
+  "rate",
+  "concurrency",
+  "queue",
+  "deadlineMs",
+  "runMs",
+] as const satisfies readonly (keyof ClassRow)[];
+
 const tableOptions = {
   wait: { type: "boolean", default: false },
   file: { type: "string" },
@@ -105,55 +121,34 @@
 ): Promise<Result<void, Failure>> {
   const table = await readTable(client);
   return table.map((t) => {
-    if (json) {
-      return print(
-        JSON.stringify({ version: t.version, rows: [...t.rows.values()] }),
-      );
-    }
+    const rows = [...t.rows.values()];
+    if (json) return print(JSON.stringify({ version: t.version, rows }));
     print(`table version ${t.version}`);
-    printTable(
-      ["pool", "version", "budget", "spare"],
-      [...t.rows.values()].flatMap(({ version, row }) =>
-        row.kind === "pool" ? [[row.name, version, row.budget, row.spare]] : []
-      ),
-    );
-    printTable(
-      [
-        "class",
-        "version",
-        "pool",
-        "urgency",
-        "repeat",
-        "weight",
-        "price",
-        "rate",
-        "concurrency",
-        "queue",
-        "deadlineMs",
-        "runMs",
-      ],
-      [...t.rows.values()].flatMap(({ version, row }) =>
-        row.kind === "class"
-          ? [[
-            row.name,
-            version,
-            row.pool,
-            row.urgency,
-            row.repeat,
-            row.weight,
-            row.price,
-            row.rate,
-            row.concurrency,
-            row.queue,
-            row.deadlineMs,
-            row.runMs,
-          ]]
-          : []
-      ),
-    );
+    printPools(rows);
+    printClasses(rows);
   });
 }
 
+function printPools(rows: readonly VersionedRow[]): void {
+  printTable(
+    ["pool", "version", "budget", "spare"],
+    rows.flatMap(({ version, row }) =>
+      row.kind === "pool" ? [[row.name, version, row.budget, row.spare]] : []
+    ),
+  );
+}
+
+function printClasses(rows: readonly VersionedRow[]): void {
+  printTable(
+    ["class", "version", ...classColumns],
+    rows.flatMap(({ version, row }) =>
+      row.kind === "class"
+        ? [[row.name, version, ...classColumns.map((column) => row[column])]]
+        : []
+    ),
+  );
+}
+
 async function importCsv(
   client: OperatorClient,
   values: OptionValues,
--- a/src/maintenance/ejection.ts
+++ b/src/maintenance/ejection.ts
@@ -5,6 +5,7 @@
 import { Ok, type Result } from "ts-results";
 import { auditWrite } from "../audit/index.ts";
 import { codes, fail, type Failure } from "../errors/index.ts";
+import type { DecodedRow, PlatformRowWrite } from "../platform/index.ts";
 import type { ChangeContext } from "../table/index.ts";
 import { type BudgetRow, checkBudget } from "./budget.ts";
 import {
@@ -13,6 +14,9 @@
   readDecisionInputs,
 } from "./drain.ts";
 
+/** Name of an ejection's audit record, or of a reinstatement's. */
+type EjectionAction = "host.eject" | "host.reinstate";
+
 /**
  * Marks a host as ejected if its pool's budget allows it. Does nothing when the
  * host is ejected already. Fails as a drain does.
@@ -41,7 +45,7 @@
   deps: DrainDependencies,
   host: string,
   ctx: ChangeContext,
-  action: "host.eject" | "host.reinstate",
+  action: EjectionAction,
 ): Promise<Result<void, Failure>> {
   const inputs = await readDecisionInputs(deps, { host });
   if (inputs.err) return inputs;
@@ -59,27 +63,10 @@
       `the data on host ${host} is too old to decide on`,
     );
   }
-  const others = budget.value.ejected.filter((name) => name !== host);
-  const after: BudgetRow = {
-    ...budget.value,
-    changes: budget.value.changes + 1,
-    ejected: isEjection ? [...others, host] : others,
-  };
   const outcome = await deps.platform.table.commit({
     operation: ctx.operation,
     checks,
-    writes: [
-      { key: budget.key, value: after },
-      auditWrite({
-        at: ctx.at,
-        who: ctx.who,
-        action,
-        subject: `host ${host}`,
-        before: budget.value.ejected,
-        after: after.ejected,
-        operation: ctx.operation,
-      }),
-    ],
+    writes: ejectionWrites(budget, host, ctx, action),
   });
   if (outcome.err) return outcome;
   if (outcome.val.kind === "committed") return Ok(undefined);
@@ -88,3 +75,31 @@
     `pool of host ${host} was changed by another writer`,
   );
 }
+
+/** The pool's budget row after the change, and its audit record. */
+function ejectionWrites(
+  budget: DecodedRow<BudgetRow>,
+  host: string,
+  ctx: ChangeContext,
+  action: EjectionAction,
+): readonly PlatformRowWrite[] {
+  const before = budget.value;
+  const others = before.ejected.filter((name) => name !== host);
+  const after: BudgetRow = {
+    ...before,
+    changes: before.changes + 1,
+    ejected: action === "host.eject" ? [...others, host] : others,
+  };
+  return [
+    { key: budget.key, value: after },
+    auditWrite({
+      at: ctx.at,
+      who: ctx.who,
+      action,
+      subject: `host ${host}`,
+      before: before.ejected,
+      after: after.ejected,
+      operation: ctx.operation,
+    }),
+  ];
+}
