--- a/test/platform/json_client_test.ts
+++ b/test/platform/json_client_test.ts
@@ -92,6 +92,30 @@
   });
 });
 
+// Guards against orders that are sent in the last moments of their calls, which
+// a paused endpoint carries out when it resumes.
+describe("calls behind calls that time out", () => {
+  it("are not sent just before their own timeout", async () => {
+    const receivedPaths: string[] = [];
+    const server = createHttpServer((req) => {
+      receivedPaths.push(req.url ?? "");
+    }).listen(0, "127.0.0.1");
+    await once(server, "listening");
+    const { port } = server.address() as AddressInfo;
+    const http = new JsonClient(`127.0.0.1:${port}`, 1);
+    const call = { method: "GET", timeoutMs: 10 * timeoutMs } as const;
+    const sent = http.call({ ...call, path: "/sent" });
+    await new Promise((resolve) => setTimeout(resolve, 0.8 * timeoutMs));
+    const queued = http.call({ ...call, path: "/waits" });
+    const statuses = [(await sent).status, (await queued).status];
+    await http.close();
+    server.closeAllConnections();
+    server.close();
+    assert.deepEqual(statuses, [undefined, undefined]);
+    assert.deepEqual(receivedPaths, ["/sent"]);
+  });
+});
+
 describe("a response", () => {
   it("is assembled from its chunks, undefined if empty, null if not JSON", async () => {
     const server = createHttpServer((req, res) => {
--- a/test/platform/task_order_client_test.ts
+++ b/test/platform/task_order_client_test.ts
@@ -17,6 +17,9 @@
 /** Orders of one burst: more than the client's connections to an endpoint. */
 const burstSize = 12;
 
+/** Most connections of the client to one endpoint. */
+const maxConnections = 5;
+
 /** Time after the last outcome in which an order may still arrive, in ms. */
 const graceMs = 100;
 
@@ -183,6 +186,19 @@
       assert.deepEqual(await standIns.orders(port), []);
     });
   });
+
+  // Guards against an order that arrives after its call has timed out.
+  describe("orders behind silent ones", () => {
+    it("are not sent after their timeout", async () => {
+      const port = await standIns.open({ kind: "silent" });
+      const outcomes = await startAll(client, port, burstSize);
+      await standIns.behave(port, answer(200, accepted));
+      await pause(graceMs);
+      const orders = await standIns.orders(port);
+      assertTruthful(outcomes, orders, false);
+      assert.ok(orders.length <= maxConnections, `${orders.length} were read`);
+    });
+  });
 }
 
 function describeDrawnSequences() {
