--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -29,7 +29,7 @@
   type RunPhase,
 } from "./endpoint_session.ts";
 import { IncarnationCheck } from "./incarnation_check.ts";
-import { OrphanRuns } from "./orphan_runs.ts";
+import { type OrphanRun, OrphanRuns } from "./orphan_runs.ts";
 import { RunIndex } from "./run_index.ts";
 import { RunOrders } from "./run_orders.ts";
 
@@ -117,11 +117,26 @@
       session.endpoint = { ...session.endpoint, draining: true };
       if (session.runs.size === 0) this.endSession(session, "not registered");
     }
-    for (const { run } of this.#orphans.takeLost(clock.now(), takenDown)) {
-      this.deps.onRunEnded(run, "lost", "");
+    for (const orphan of this.#orphans.takeLost(clock.now(), takenDown)) {
+      this.#finishOrphan(orphan);
     }
   }
 
+  /** Ends a run whose endpoint has no session as lost. */
+  #finishOrphan({ run, endpoint }: OrphanRun): void {
+    const { log, shard, lease } = this.deps;
+    log.decision("run-over", {
+      shard,
+      term: lease.term,
+      job: run.job,
+      task: run.name,
+      run: run.run,
+      endpoint,
+      reason: "lost: no session until its lease was over",
+    });
+    this.deps.onRunEnded(run, "lost", "");
+  }
+
   /** Ends the session of an endpoint whose host was taken down. */
   endIncarnation(id: string, reason: string): void {
     const session = this.#sessions.get(id);
