Keep an expired job out until its row has left the inbox

What callers saw (by reading, not by a run): 150 s after its end a job is forgotten and its rows are removed. When the store dropped its history before that removal was committed, the whole inbox was read again and the job, unknown and without progress, began anew: work that must run once ran twice. Evidence: job_registry_test without the new set of forgotten ids: 'keeps the job out while its row is in the inbox' fails, as the job is taken again. A forgotten id is now kept until the inbox shows that its row is gone.

--- a/src/scheduler/job_registry.ts
+++ b/src/scheduler/job_registry.ts
@@ -55,6 +55,8 @@
   readonly #storedProgress = new Map<string, string>();
   /** Ids of jobs whose cancellation was read before the job itself. */
   readonly #earlyCancellations = new Set<string>();
+  /** Ids of forgotten jobs whose row may still be in the inbox. */
+  readonly #forgotten = new Set<string>();
 
   /**
    * Loads the stored progress rows. Must be called before {@link applyInbox}.
@@ -73,7 +75,10 @@
   ): readonly TrackedJob[] {
     const changedJobs = new Set<TrackedJob>();
     for (const change of changes) {
-      if (change.kind === "removed") continue;
+      if (change.kind === "removed") {
+        this.#forgotten.delete(change.row.key);
+        continue;
+      }
       const cancelledId = jobOfCancelKey(change.row.key);
       const job = cancelledId === undefined
         ? this.#accept(change.row, now)
@@ -141,8 +146,24 @@
       .map((j) => j.spec.id);
   }
 
-  /** Removes a job from the registry. */
+  /**
+   * Applies the whole inbox, which is read at the start and after the store has
+   * dropped its history; otherwise like {@link applyInbox}.
+   */
+  resetInbox(rows: readonly StoreRow[], now: number): readonly TrackedJob[] {
+    const listed = new Set(rows.map((row) => row.key));
+    for (const id of this.#forgotten) {
+      if (!listed.has(id)) this.#forgotten.delete(id);
+    }
+    return this.applyInbox(rows.map((row) => ({ kind: "put", row })), now);
+  }
+
+  /**
+   * Removes a job from the registry. Its row in the inbox is not accepted again
+   * before it has been removed.
+   */
   forget(id: string): void {
+    this.#forgotten.add(id);
     this.byId.delete(id);
     this.dirty.delete(id);
     this.active.delete(id);
@@ -151,7 +172,9 @@
 
   /** Adds the job of an inbox row; undefined if it is known or invalid. */
   #accept(row: StoreRow, now: number): TrackedJob | undefined {
-    if (this.byId.has(row.key)) return undefined;
+    if (this.byId.has(row.key) || this.#forgotten.has(row.key)) {
+      return undefined;
+    }
     const spec = parseJson(jobSpecSchema, row.value);
     if (spec === undefined) return undefined;
     const stored = this.#storedProgress.get(row.key);
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -231,13 +231,18 @@
    * dropped its history.
    */
   #resetInbox(rows: readonly StoreRow[]): void {
-    this.#applyInbox(rows.map((row) => ({ kind: "put", row })));
+    this.#takeJobs(this.jobs.resetInbox(rows, this.deps.clock.now()));
   }
 
   /** Handles changes of the inbox: new and cancelled jobs. */
   #applyInbox(changes: readonly StoreRowChange[]): void {
+    this.#takeJobs(this.jobs.applyInbox(changes, this.deps.clock.now()));
+  }
+
+  /** Handles jobs that are new or cancelled. */
+  #takeJobs(jobs: readonly TrackedJob[]): void {
     const { clock, log, shard } = this.deps;
-    for (const job of this.jobs.applyInbox(changes, clock.now())) {
+    for (const job of jobs) {
       this.jobs.openDue(job, clock.wall(), clock.now());
       log.decision("job-taken", {
         job: job.spec.id,
