--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -82,6 +82,8 @@
   readonly #reports: ShardReports;
   readonly #advisedSteps: AdvisedSteps;
   #isStopped = false;
+  /** Monotonic time in ms since which polls of the inbox have failed. */
+  #inboxLostAt: number | undefined;
 
   constructor(private readonly deps: ShardDependencies) {
     const { shard, clock, store, lease } = deps;
@@ -276,9 +278,24 @@
     // After dropped history no pause is needed, because the next poll reads the
     // whole inbox.
     const isFailed = polled.err && polled.val.kind !== "expired";
+    this.#logInboxState(isFailed ? polled.val.message : undefined);
     return isFailed ? inboxRetryPauseMs : 0;
   }
 
+  /** Logs that polls of the inbox begin to fail, or succeed again. */
+  #logInboxState(failure: string | undefined): void {
+    const { clock, log, shard, lease } = this.deps;
+    const { term } = lease;
+    if (failure !== undefined && this.#inboxLostAt === undefined) {
+      this.#inboxLostAt = clock.now();
+      log.decision("inbox-lost", { shard, term, message: failure });
+    } else if (failure === undefined && this.#inboxLostAt !== undefined) {
+      const lostMs = Math.round(clock.now() - this.#inboxLostAt);
+      this.#inboxLostAt = undefined;
+      log.decision("inbox-back", { shard, term, lostMs });
+    }
+  }
+
   /**
    * Does the periodic work: due occurrences, sessions, supervision of runs,
    * expiry of jobs, reports and renewal. Returns the pause until the next time,
