Read an inbox anew when its feed has no answer twice

Cause: the feed returns all changes since a version in one answer. Over a slow link that answer did not arrive within 1,150 ms; the owner asked again from the same version, for more each time.

--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -50,6 +50,9 @@
 /** Pause after a failed poll, in ms. */
 const inboxRetryPauseMs = 60;
 
+/** Polls of the inbox without an answer after which it is read anew. */
+const maxInboxFeedFailures = 2;
+
 /** Interval of the periodic work, in ms. */
 const tickPeriodMs = 100;
 
@@ -165,7 +168,7 @@
     this.#inbox = new TableWatch(store, inboxTable(shard), partitions, {
       reset: (rows) => this.#resetInbox(rows),
       changed: (changes) => this.#applyInbox(changes),
-    });
+    }, { maxFeedFailures: maxInboxFeedFailures });
   }
 
   /**
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -3,4 +3,9 @@
 export { StoreBreaker } from "./breaker.ts";
 export { parseJson } from "./json_row.ts";
 export { partitionOf, partitionsOf } from "./partitions.ts";
-export { mapHandler, TableWatch, type WatchHandler } from "./table_watch.ts";
+export {
+  mapHandler,
+  TableWatch,
+  type WatchHandler,
+  type WatchOptions,
+} from "./table_watch.ts";
--- a/src/store/table_watch.ts
+++ b/src/store/table_watch.ts
@@ -38,6 +38,16 @@
   };
 }
 
+/** Options of a {@link TableWatch}. */
+export interface WatchOptions {
+  /**
+   * Number of consecutive polls of the feed without an answer after which the
+   * rows are read anew. The changes since a version arrive in one answer, which
+   * may take longer than its timeout over a slow link; a read arrives in pages.
+   */
+  readonly maxFeedFailures: number;
+}
+
 /** Follows some partitions of a table, polled by its user. */
 export class TableWatch {
   /** Version that the feed resumes from; undefined before a full read. */
@@ -45,6 +55,8 @@
   /** Number of full reads; a poll that was sent before the last is stale. */
   #reads = 0;
   readonly #partitions: ReadonlySet<string>;
+  /** Consecutive polls of the feed without an answer. */
+  #feedFailures = 0;
   /** Partitions that a full read which has failed in part has read. */
   readonly #partialRead = new Map<string, RangeResult>();
 
@@ -53,6 +65,7 @@
     private readonly table: string,
     partitions: readonly string[],
     private readonly handler: WatchHandler,
+    private readonly options: WatchOptions = { maxFeedFailures: Infinity },
   ) {
     this.#partitions = new Set(partitions);
   }
@@ -70,14 +83,20 @@
   /** Delivers changes to the handler, waiting up to `waitMs` for the first. */
   async poll(waitMs: number): Promise<Result<void, StoreFailure>> {
     if (this.#version === undefined) return await this.refresh();
+    if (this.#feedFailures >= this.options.maxFeedFailures) {
+      this.#feedFailures = 0;
+      return await this.refresh();
+    }
     const reads = this.#reads;
     const feed = await this.store.feed(this.table, this.#version, waitMs);
     // The full read since is newer, and the next poll resumes from it.
     if (reads !== this.#reads) return feed.map(() => undefined);
     if (feed.err) {
       if (feed.val.kind === "expired") this.#version = undefined;
+      if (feed.val.kind === "unknown") this.#feedFailures++;
       return feed;
     }
+    this.#feedFailures = 0;
     this.#version = feed.val.version;
     const followed = feed.val.changes.filter((c) =>
       this.#partitions.has(c.row.partition)
