Withdraw no intended member of a gang for a listed run

A gang runs only as a whole, and its listed runs are not adopted; a member that is withdrawn would have left the others alone. Found by reading.

--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -222,6 +222,7 @@
   #withdrawIntendedRun(job: string, listed: RunningTask): void {
     for (const { session, run } of this.#runIndex.ofJob(job)) {
       if (run.name !== listed.task || run.phase !== "intended") continue;
+      if (run.step.gang) continue;
       this.finishRun(session, run, "not-started", "another run is listed");
     }
   }
