Reckon with the lease that an earlier incarnation's order grants to the next

What callers saw (model): an endpoint that had restarted under its id and was cut off 2 s later went on with tasks that were started elsewhere meanwhile. Cause: a hold or start of the earlier incarnation that reaches the next one asks for a lease by the earlier clock, which is only shortened to the longest that the endpoint grants; the new session reckoned with its own 5.1 s. A session that follows a restart now reckons with 12 s from its beginning, the bound for the starts that are kept for it. A replaced incarnation that its registration still names gets a session again after 2 s, instead of never, so that a wrong answer does not exclude an endpoint for good (by reading).

--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -34,11 +34,25 @@
 import { RunOrders } from "./run_orders.ts";
 
 /**
- * Maximum time for which a run can be in progress whose start was in flight when
- * its endpoint restarted, in ms: the delivery of the start, and the longest
- * lease that an endpoint grants.
+ * Maximum time for which a run can be in progress at an endpoint because of an
+ * order that was in flight when it restarted, in ms: the delivery of the order,
+ * and the longest lease that an endpoint grants. The order asks for a lease by
+ * the clock of the earlier incarnation, so that only this maximum limits it.
  */
-const maxUnsettledStartMs = 12_000;
+const maxUnsettledOrderMs = 12_000;
+
+/**
+ * Time for which an incarnation that has been replaced gets no new session, in
+ * ms. Meanwhile the registration may still name it.
+ */
+const reopenPauseMs = 2_000;
+
+/** An incarnation that has been replaced. */
+interface EndedIncarnation {
+  readonly life: number;
+  /** Monotonic time in ms. */
+  readonly endedAt: number;
+}
 
 /** Number of runs whose start order is in flight. */
 function countStarting({ runs }: EndpointSession): number {
@@ -61,8 +75,8 @@
   /** Time at which all leases of earlier owners have expired. */
   readonly #inheritedLeasesEndBy: number;
   readonly #incarnations: IncarnationCheck;
-  /** Last incarnation of each id that is known to have ended. */
-  readonly #endedLives = new Map<string, number>();
+  /** Last incarnation that was replaced, by id, until the next session. */
+  readonly #ended = new Map<string, EndedIncarnation>();
   #isStopped = false;
 
   constructor(private readonly deps: DriverDependencies) {
@@ -230,8 +244,9 @@
   replaceIncarnation(session: EndpointSession): void {
     if (session.closed) return;
     const { id, life } = session.endpoint;
-    this.#endedLives.set(id, life);
-    const leaseEndsBy = this.deps.clock.now() + maxUnsettledStartMs;
+    const endedAt = this.deps.clock.now();
+    this.#ended.set(id, { life, endedAt });
+    const leaseEndsBy = endedAt + maxUnsettledOrderMs;
     for (const run of [...session.runs.values()]) {
       if (run.phase === "intended" || run.wasListed) continue;
       session.remove(run);
@@ -278,12 +293,19 @@
     const { id, life } = endpoint;
     const existing = this.#sessions.get(id);
     if (existing === undefined) {
-      if (this.#endedLives.get(id) !== life) this.#openSession(endpoint);
+      if (!this.#wasJustReplaced(endpoint)) this.#openSession(endpoint);
     } else if (existing.endpoint.life === life) {
       existing.updateRegistration(endpoint);
     } else this.#checkIncarnation(existing, endpoint);
   }
 
+  /** Whether the registered incarnation was replaced a short time ago. */
+  #wasJustReplaced({ id, life }: TaskEndpoint): boolean {
+    const ended = this.#ended.get(id);
+    return ended?.life === life &&
+      this.deps.clock.now() - ended.endedAt < reopenPauseMs;
+  }
+
   /**
    * Replaces a session if the incarnation that the registration names answers.
    * Until then no task is placed there.
@@ -306,12 +328,19 @@
   #openSession(endpoint: TaskEndpoint): void {
     const { id } = endpoint;
     const orphans = this.#orphans.takeForEndpoint(id);
-    const leaseEndsBy = Math.max(...orphans.map((o) => o.leaseEndsBy));
+    const now = this.deps.clock.now();
+    const restartLeaseEndsBy = this.#ended.has(id)
+      ? now + maxUnsettledOrderMs
+      : -Infinity;
+    const leaseEndsBy = Math.max(
+      restartLeaseEndsBy,
+      ...orphans.map((orphan) => orphan.leaseEndsBy),
+    );
     const session = new EndpointSession(endpoint, leaseEndsBy);
     this.#sessions.set(id, session);
-    this.#endedLives.delete(id);
+    this.#ended.delete(id);
     for (const { run } of orphans) {
-      setPhase(run, "doubtful", this.deps.clock.now());
+      setPhase(run, "doubtful", now);
       this.#addRun(session, run);
     }
     this.#logSession("session-opened", session, { adopted: orphans.length });
