--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -85,7 +85,9 @@
       : undefined;
     const outcome = await orders.hold(session.endpoint, {
       term: lease.term,
-      recordedSeq: session.recordedEndSeq,
+      // After a failure another incarnation may answer, whose ends have the
+      // same numbers.
+      recordedSeq: session.silent ? 0 : session.recordedEndSeq,
       ...(leaseUntil !== undefined && { leaseUntil }),
       waitMs: extendsLease ? this.#holdWaitMs(session) : 0,
     });
