Release a shard whose state could not be read

By reading: an owner that gave up loading only forgot its shard, so that the next one waited for its lease and reckoned with a silent owner.

--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -219,7 +219,7 @@
     return hasEnded ? "ended" : "silent";
   }
 
-  /** Starts the owner of an acquired shard; drops the shard if that fails. */
+  /** Starts the owner of an acquired shard; releases it if that fails. */
   async #runOwner(
     shard: string,
     lease: ShardLease,
@@ -241,8 +241,8 @@
       this.#membership.heartbeat();
       return;
     }
-    owner.stop();
     this.#removeOwned(shard, owner);
+    await owner.release();
   }
 
   /** Starts the control loop of the fleet shard. */
