Test that a listed run of a waiting task is adopted

The test that came with the adoption no longer reached it once the endpoint itself was asked. With the adoption switched off this one fails: + 'stop'.

--- a/test/scheduler/shard_owner_test.ts
+++ b/test/scheduler/shard_owner_test.ts
@@ -6,15 +6,18 @@
 import { ModelStore } from "../../sim/model_store.ts";
 import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
 import {
+  encodeProgress,
   inboxKey,
   initialProgress,
   progressKey,
+  taskAt,
 } from "../../src/batch/index.ts";
-import { encodeProgress } from "../../src/batch/index.ts";
+import { delay } from "../../src/clock/index.ts";
 import { EndpointRegistry } from "../../src/endpoint/index.ts";
 import { ShardOwner } from "../../src/scheduler/index.ts";
 import { type Store } from "../../src/store/index.ts";
 import { acquireLease } from "../cluster/acquire_lease.ts";
+import { endpoint } from "./sessions.ts";
 
 const shard = "quotes";
 
@@ -82,6 +85,68 @@
   });
 });
 
+describe("ShardOwner", () => {
+  describe("when an endpoint lists a run of a waiting task", () => {
+    // Guards against TWICE: an owner stopped such a run and started its task
+    // again while the run was still in progress.
+    it("adopts the run and sends no order about its task", async () => {
+      const clock = new VirtualClock();
+      const model = new ModelStore(clock, () => 1);
+      const store = model.connect("a", new ProcessClock(clock));
+      const job = makeJob(1, "single", shard, 0);
+      model.write(inboxKey(shard, job.id), JSON.stringify(job));
+      const lease = await advanceUntil(
+        clock,
+        acquireLease(store, clock, shard, "a"),
+      );
+      const registry = new EndpointRegistry();
+      registry.reset([endpoint("e", { pool: shard })]);
+      const task = `${job.id}.0.0.0`;
+      const running = [
+        { task, run: 3, checkpoint: "", percent: 40, load: undefined },
+      ];
+      const sent: string[] = [];
+      const record = (kind: string) => () => {
+        sent.push(kind);
+        return Promise.resolve({ kind: "done", clockMs: 0 } as const);
+      };
+      const owner = new ShardOwner({
+        shard,
+        lease,
+        previous: "ended",
+        store,
+        orders: {
+          start: record("start"),
+          stop: record("stop"),
+          pace: record("pace"),
+          hold: async () => {
+            await new Promise<void>((done) => clock.after(100, done));
+            const lists = { clockMs: clock.now(), life: 7, running, ended: [] };
+            return { kind: "lists", lists };
+          },
+          endIncarnation: () => {},
+        },
+        advisor: { advise: () => Promise.reject(new Error("not used")) },
+        registry,
+        clock,
+        log: { decision: () => {} },
+        vacating: () => new Map(),
+        refreshVacating: () => Promise.resolve(true),
+        onCrash: (_, err) => assert.fail(String(err)),
+        onLost: () => assert.fail("lost"),
+      });
+      assert.equal(await advanceUntil(clock, owner.start()), true);
+      await advanceUntil(clock, delay(clock, 1_000));
+      const tracked = owner.jobs.byId.get(job.id);
+      const ref = { occurrence: 0, step: 0, index: 0 };
+      const placement = tracked && taskAt(tracked.progress, ref)?.placement;
+      assert.deepEqual(placement, { run: 3, endpoint: "e", life: 7 });
+      assert.deepEqual(sent, []);
+      owner.stop();
+    });
+  });
+});
+
 /** Advances the clock until a promise settles, for 30 s at most. */
 async function advanceUntil<T>(
   clock: VirtualClock,
