Let the runs be listed before a foreign registration arrives in its test

With 600 ms the endpoints had not listed the runs yet, which are then kept in any case: the test passed also when the endpoint's answer was ignored. After 2.5 s, with longer tasks and a row that stands for 1.4 s, that change fails: TWICE at 6.150 s: 1.0.0.0 run 2 on endpoint-13 started during run 1 on endpoint-3 and the code passes.

--- a/test/sim/foreign_registration_test.ts
+++ b/test/sim/foreign_registration_test.ts
@@ -20,12 +20,13 @@
   }
 
   beforeEach(async () => {
-    sim = await settledSimulation({ workFactor: 4 });
+    sim = await settledSimulation({ workFactor: 12 });
     const runner = new ActionRunner(sim);
     for (let i = 0; i < 2; i++) {
       await runner.perform({ kind: "submit", job: "wide", pool: 0 });
     }
-    await sim.advance(600);
+    // The endpoints have listed the runs by then.
+    await sim.advance(2_500);
   });
 
   afterEach(() => endSimulation(sim));
@@ -41,9 +42,9 @@
           register(info, { life: info.life + difference });
         }
       }
-      await sim.advance(400);
+      await sim.advance(1_400);
       for (const info of infos) if (info !== undefined) register(info, {});
-      await sim.advance(6_000);
+      await sim.advance(10_000);
       assert.deepEqual(sim.oracle.violations, []);
     });
   }
