Take no run for absent while an endpoint has further ends to list

Cause: an endpoint lists 500 ends at a time. EndpointSession.compareLists took the list for complete: a run whose end was not listed yet was stopped, counted as absent after the stop, and its task was placed again.

Fix: the lists say whether further ends may follow. Until they don't, a run that is not listed is neither absent nor unresolved, and its progress is not known, so that it counts neither as available nor as stalled.

--- a/sim/ended_runs.ts
+++ b/sim/ended_runs.ts
@@ -48,6 +48,11 @@
     return confirmed.filter((r) => !r.isLeaseLapsed);
   }
 
+  /** Whether there are more ends than {@link list} returns. */
+  get hasUnlisted(): boolean {
+    return this.#runs.length > maxListedEnds;
+  }
+
   /** The oldest ends, at most {@link maxListedEnds}. */
   list(): readonly EndedTask[] {
     return this.#runs.slice(0, maxListedEnds).map((
--- a/sim/model_endpoint.ts
+++ b/sim/model_endpoint.ts
@@ -206,6 +206,7 @@
         load: undefined,
       })),
       ended: this.#endedRuns.list(),
+      hasMoreEnds: this.#endedRuns.hasUnlisted,
     };
   }
 
--- a/src/endpoint/task_orders.ts
+++ b/src/endpoint/task_orders.ts
@@ -133,6 +133,11 @@
   readonly life: number;
   readonly running: readonly RunningTask[];
   readonly ended: readonly EndedTask[];
+  /**
+   * Whether further ends may follow that are not listed. They are listed after
+   * the earlier ones have been discarded.
+   */
+  readonly hasMoreEnds: boolean;
 }
 
 /** Outcome of a hold order; `unknown` as in {@link OrderOutcome}. */
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -81,8 +81,8 @@
   /** Whether the endpoint has listed it as running. */
   wasListed: boolean;
   /**
-   * Progress that the endpoint listed last, -1 before that. A long-running task
-   * reports 100 while it is serving.
+   * Progress that the endpoint listed last, -1 if it is not known. A
+   * long-running task reports 100 while it is serving.
    */
   percent: number;
   /** Time at which its start was sent or its percentage last changed. */
@@ -311,7 +311,9 @@
 
   /**
    * Updates the tracked runs from lists that were requested at `sentAt`, and
-   * returns what differs. Lists say nothing about changes after `sentAt`.
+   * returns what differs. Lists say nothing about changes after `sentAt`. While
+   * further ends may follow, a run that is not listed may have ended, so none
+   * counts as absent or unresolved.
    */
   compareLists(
     lists: EndpointLists,
@@ -330,6 +332,7 @@
       if (listed?.run === run.run) {
         if (this.#updateListedRun(run, listed, now)) confirmed.push(run);
       } else if (endedRuns.has(`${run.name}#${run.run}`)) continue;
+      else if (lists.hasMoreEnds) this.#forgetProgress(run, sentAt, now);
       else if (this.#isAbsent(run, sentAt)) absent.push(run);
       else if (this.#isUnresolved(run, sentAt)) unresolved.push(run);
     }
@@ -356,6 +359,13 @@
     return confirms;
   }
 
+  /** Marks the progress of a run that should be listed as not known. */
+  #forgetProgress(run: Run, sentAt: number, now: number): void {
+    if (run.phase !== "running" || run.phaseChangedAt >= sentAt) return;
+    run.percent = -1;
+    run.progressedAt = now;
+  }
+
   /** Whether a stop of an unlisted run was confirmed before the request. */
   #isAbsent(run: Run, sentAt: number): boolean {
     return run.stoppedAt !== undefined && run.stoppedAt < sentAt;
--- a/test/platform/task_order_client_test.ts
+++ b/test/platform/task_order_client_test.ts
@@ -162,11 +162,36 @@
       const port = await standIns.open(answer(200, accepted));
       const order = { term: 1, recordedSeq: 0, waitMs: 1 };
       const outcome = await client.hold(endpointAt(port, 7), order);
-      const lists = { clockMs: 1, life: 7, running: [], ended: [] };
+      const lists = {
+        clockMs: 1,
+        life: 7,
+        running: [],
+        ended: [],
+        hasMoreEnds: false,
+      };
       assert.deepEqual(outcome, { kind: "lists", lists });
     });
   });
 
+  // Guards against TWICE: a run whose end was not listed yet counted as absent.
+  describe("lists with as many ends as one response holds", () => {
+    for (const count of [499, 500]) {
+      it(`of ${count} ends tell whether further ones may follow`, async () => {
+        const finished = Array.from(
+          { length: count },
+          (_, i) => [i + 1, `5c0e7a21d94b36f8.0.0.${i}`, 1, "done", ""],
+        );
+        const body = JSON.stringify({ clockMs: 1, running: [], finished });
+        const port = await standIns.open(answer(200, body));
+        const order = { term: 1, recordedSeq: 0, waitMs: 0 };
+        const outcome = await client.hold(endpointAt(port, 7), order);
+        assert.ok(outcome.kind === "lists");
+        assert.equal(outcome.lists.ended.length, count);
+        assert.equal(outcome.lists.hasMoreEnds, count === 500);
+      });
+    }
+  });
+
   describe("an order that can't be sent", () => {
     it("is rejected as unreachable when the port refuses", async () => {
       const port = await standIns.open(answer(200, accepted));
--- a/test/scheduler/endpoint_session_test.ts
+++ b/test/scheduler/endpoint_session_test.ts
@@ -14,6 +14,7 @@
   life: 7,
   running: [],
   ended: [],
+  hasMoreEnds: false,
 };
 const listed = {
   task: "job.0.0.0",
@@ -97,6 +98,37 @@
   });
 });
 
+describe("EndpointSession.compareLists of lists with further ends", () => {
+  const partialLists = { ...emptyLists, hasMoreEnds: true };
+
+  // Guards against TWICE: a run whose end was not listed yet counted as never
+  // started, and its task was placed again.
+  it("reports no stopped run as absent", () => {
+    const session = newSession();
+    session.add(run("stopping", { stoppedAt: 150 }));
+    assert.deepEqual(session.compareLists(partialLists, 200, 210).absent, []);
+  });
+
+  // Guards against needless stops of runs that have ended.
+  it("reports no run that is not listed as unresolved", () => {
+    const session = newSession();
+    session.add(run("running"));
+    const found = session.compareLists(partialLists, 200, 210);
+    assert.deepEqual(found.unresolved, []);
+  });
+
+  // Guards against AVAIL: a task that has ended counted as available, because it
+  // was when it was listed last.
+  it("knows no progress of a run that is not listed", () => {
+    const session = newSession();
+    const ended = run("running", { percent: 100 });
+    session.add(ended);
+    session.compareLists(partialLists, 200, 210);
+    assert.equal(ended.percent, -1);
+    assert.equal(ended.progressedAt, 210);
+  });
+});
+
 describe("EndpointSession.leaseEndsBy", () => {
   it("allows for the drift of the endpoint's clock", () => {
     const session = newSession();
--- a/test/scheduler/shard_owner_test.ts
+++ b/test/scheduler/shard_owner_test.ts
@@ -121,7 +121,13 @@
           pace: record("pace"),
           hold: async () => {
             await new Promise<void>((done) => clock.after(100, done));
-            const lists = { clockMs: clock.now(), life: 7, running, ended: [] };
+            const lists = {
+              clockMs: clock.now(),
+              life: 7,
+              running,
+              ended: [],
+              hasMoreEnds: false,
+            };
             return { kind: "lists", lists };
           },
           endIncarnation: () => {},
