Store the progress of a large job in several rows, and give up a row that is never accepted

Cause: the progress of all open occurrences was one row, without a bound, and the queue of commits repeated a transaction that the store never takes for ever, with everything else of the shard in it, while the lease went on.

Fix: jobs with over 100 tasks have a head row and parts of 100 tasks, written one by one; what other rows would have told is concluded when they are read. A job has at most 5,000 open tasks. A commit answered with 400, 403 or 413 fails as invalid: the batch is halved until the row at fault is alone, which is given up and logged (row-rejected), and its job fails.

Ruled out: full endpoints, a shard without an owner.

A check is replaced: the store's client takes 400 and 403 as invalid, no longer as unknown. That is still no proof that nothing was stored; a new test of the intake shows that a caller is never told so. Releases before can't read the parts.

--- a/sim/model_store.ts
+++ b/sim/model_store.ts
@@ -3,6 +3,7 @@
  * outages for some or all processes, commits whose answer is lost or that take
  * effect late, and dropped change history.
  */
+import { Buffer } from "node:buffer";
 import { Err, Ok, type Result } from "ts-results";
 import type {
   FeedResult,
@@ -33,6 +34,9 @@
 /** Maximum entries (checks, puts and removes) of one transaction. */
 const maxEntries = 100;
 
+/** Maximum size of a row's value, in bytes. */
+const maxRowBytes = 65_536;
+
 /** Maximum total size of a transaction's values in base64, in bytes. */
 const maxBase64Bytes = 1_000_000;
 
@@ -46,10 +50,17 @@
   return `${table}\n${partition}\n${key}`;
 }
 
-function isTooLarge({ checks, puts, removes }: StoreTransaction): boolean {
-  const valueLength = puts.reduce((sum, put) => sum + put.value.length, 0);
-  return checks.length + puts.length + removes.length > maxEntries ||
-    valueLength * 4 / 3 > maxBase64Bytes;
+/** Why the store does not accept a transaction; undefined if it does. */
+function rejectionOf(
+  { checks, puts, removes }: StoreTransaction,
+): string | undefined {
+  const sizes = puts.map((put) => Buffer.byteLength(put.value));
+  const total = sizes.reduce((sum, size) => sum + size, 0);
+  const entries = checks.length + puts.length + removes.length;
+  if (entries > maxEntries) return `${entries} entries`;
+  if (total * 4 / 3 > maxBase64Bytes) return `${total} bytes`;
+  const largest = Math.max(0, ...sizes);
+  return largest > maxRowBytes ? `a row of ${largest} bytes` : undefined;
 }
 
 /** The store that all processes share. */
@@ -156,7 +167,8 @@
   async #commit(
     tx: StoreTransaction,
   ): Promise<Result<StoreCommitOutcome, StoreFailure>> {
-    if (isTooLarge(tx)) return Err({ kind: "refused", message: "too large" });
+    const message = rejectionOf(tx);
+    if (message !== undefined) return Err({ kind: "invalid", message });
     await this.#wait(commitDurationMs * this.delayFactor);
     if (this.random() < this.lostAnswerShare) {
       const lateDelayMs = this.random() < 0.5
--- a/src/batch/job_spec.ts
+++ b/src/batch/job_spec.ts
@@ -95,9 +95,8 @@
 export type JobSpec = v.InferOutput<typeof jobSpecSchema>;
 
 /**
- * Maximum number of tasks in one occurrence. An occurrence's progress is stored
- * in a single row of at most 64 KiB, and a task that has run takes up to 90
- * bytes of it.
+ * Maximum number of tasks in one occurrence. An owner holds all of them in
+ * memory and compares them on each change of the occurrence.
  */
 export const maxTasksPerOccurrence = 700;
 
--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -217,16 +217,23 @@
     checkpoint: checkpoint === "" ? task.checkpoint : checkpoint,
   };
   const next = withTask(p, ref, ended);
-  const attemptsExhausted = !step.longRunning && failures >= spec.maxAttempts;
-  if (!attemptsExhausted || isFinal(p.phase)) return next;
-  return { ...next, phase: "failed" };
+  return hasExhaustedAttempts(spec, step, ended) ? failJob(next) : next;
+}
+
+/** Whether a task has failed as often as its queue allows. */
+export function hasExhaustedAttempts(
+  { maxAttempts }: JobSpec,
+  step: StepSpec,
+  task: TaskState,
+): boolean {
+  return !step.longRunning && !task.done && task.failures >= maxAttempts;
 }
 
 /**
  * Marks a task as done, and with it all members of a gang. Keeps the placement
  * of another run that may still be in progress, so that it can be stopped.
  */
-function completeTask(
+export function completeTask(
   p: JobProgress,
   step: StepSpec,
   ref: TaskRef,
@@ -254,16 +261,16 @@
 }
 
 /** Closes an occurrence once its tasks are done; the last completes the job. */
-function completeOccurrenceIfDone(
+export function completeOccurrenceIfDone(
   p: JobProgress,
   spec: JobSpec,
-  ref: TaskRef,
+  { occurrence }: Pick<TaskRef, "occurrence">,
 ): JobProgress {
-  const tasks = p.open.get(ref.occurrence);
+  const tasks = p.open.get(occurrence);
   if (tasks === undefined) return p;
   if (!tasks.every((_, step) => isStepDone(tasks, step))) return p;
   const open = new Map(p.open);
-  open.delete(ref.occurrence);
+  open.delete(occurrence);
   const completedOccurrences = p.completedOccurrences + 1;
   const next = { ...p, open, completedOccurrences };
   if (completedOccurrences < occurrenceCount(spec) || isFinal(p.phase)) {
@@ -272,6 +279,11 @@
   return { ...next, phase: "completed" };
 }
 
+/** Fails a job unless its phase is final. */
+export function failJob(p: JobProgress): JobProgress {
+  return isFinal(p.phase) ? p : { ...p, phase: "failed" };
+}
+
 /** Cancels a job unless its phase is final. */
 export function cancelJob(p: JobProgress): JobProgress {
   return isFinal(p.phase) ? p : { ...p, phase: "cancelled" };
@@ -299,65 +311,9 @@
   return placed;
 }
 
-/** Tasks that wait for placement and whose dependencies are done. */
-export function startableTasks(
-  p: JobProgress,
-  spec: JobSpec,
-): readonly TaskRef[] {
-  return readySteps(p, spec).flatMap(({ occurrence, step, tasks }) =>
-    tasks.flatMap((task, index) =>
-      isWaiting(task) ? [{ occurrence, step, index }] : []
-    )
-  );
-}
-
-/** A step of an open occurrence whose dependencies are done. */
-export interface ReadyStep {
-  readonly occurrence: number;
-  readonly step: number;
-  readonly tasks: readonly TaskState[];
-  /** Number of tasks that are not done. */
-  readonly open: number;
-  /** Number of tasks that wait for placement. */
-  readonly waiting: number;
-}
-
-/**
- * Cache of ready steps. Keying it by the progress alone is safe: progress is
- * immutable and belongs to one job, except for the shared initial value, which
- * has no ready steps for any job.
- */
-const readyStepsByProgress = new WeakMap<JobProgress, readonly ReadyStep[]>();
-
-/** Unfinished steps whose dependencies are done; none in a final phase. */
-export function readySteps(
-  p: JobProgress,
-  spec: JobSpec,
-): readonly ReadyStep[] {
-  const cached = readyStepsByProgress.get(p);
-  if (cached !== undefined) return cached;
-  const ready = findReadySteps(p, spec);
-  readyStepsByProgress.set(p, ready);
-  return ready;
-}
-
-function findReadySteps(p: JobProgress, spec: JobSpec): readonly ReadyStep[] {
-  if (isFinal(p.phase)) return [];
-  const ready: ReadyStep[] = [];
-  for (const [occurrence, steps] of p.open) {
-    steps.forEach((tasks, step) => {
-      const open = tasks.filter((task) => !task.done).length;
-      if (open === 0 || !isStepReady(spec, steps, step)) return;
-      const waiting = tasks.filter(isWaiting).length;
-      ready.push({ occurrence, step, tasks, open, waiting });
-    });
-  }
-  return ready;
-}
-
-/** Whether a task waits for placement. */
-export function isWaiting({ done, placement }: TaskState): boolean {
-  return !done && placement === undefined;
+/** Whether a task has had a run, so that its state has to be stored. */
+export function hasRun({ lastRun, done }: TaskState): boolean {
+  return lastRun > 0 || done;
 }
 
 /** Whether the job has left the `queued` phase. */
--- a/src/errors/result_code.ts
+++ b/src/errors/result_code.ts
@@ -197,7 +197,7 @@
     "job-too-large",
     400,
     "not-run",
-    "The job has more tasks than a record holds.",
+    "The job has more tasks, or takes more bytes, than a record holds.",
   ),
   connectionLost: defineCode(
     3001,
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -6,6 +6,7 @@
  * will not do so later. Any other outcome is reported as unknown; the caller
  * may then send the same request again.
  */
+import { Buffer } from "node:buffer";
 import { Ok, type Result } from "ts-results";
 import {
   cancelKey,
@@ -22,7 +23,9 @@
 import { type Clock, delay } from "../clock/index.ts";
 import { codes, fail, type Failure } from "../errors/index.ts";
 import {
+  maxRowBytes,
   parseJson,
+  type RowPut,
   type Store,
   type StoreBreaker,
   type StoreFailure,
@@ -63,6 +66,11 @@
   message: "the store does not answer",
 };
 
+/** The row of a submitted job with this value. */
+function inboxRow({ queue, job }: IntakeRequest, value: string): RowPut {
+  return { ...inboxKey(queue.pool, job), value };
+}
+
 /** Serves the callers' requests about jobs from the store. */
 export class Intake {
   readonly #recent: RecentSubmissions;
@@ -80,25 +88,32 @@
    * Stores a job. Fails with `recordUnavailable` when it is certain that the job
    * was not stored, without a call if the store is known not to answer. Fails
    * with `recordUnknown` when the job may have been stored, also by another
-   * submission of the same job at this entry.
+   * submission of the same job at this entry. Fails with `jobTooLarge` when no
+   * row holds the job.
    */
   async submit(
     req: IntakeRequest,
     spec: JobSpec,
   ): Promise<Result<"accepted", Failure>> {
+    const value = JSON.stringify(spec);
+    const bytes = Buffer.byteLength(value);
+    if (bytes > maxRowBytes) {
+      const message = `the job takes ${bytes} bytes; at most ${maxRowBytes}`;
+      return fail(codes.jobTooLarge, message);
+    }
     const job = `${req.queue.pool}\n${spec.id}`;
     this.#recent.begin(job);
     try {
-      return await this.#store(req, spec, job);
+      return await this.#store(req, inboxRow(req, value), job);
     } finally {
       this.#recent.end(job);
     }
   }
 
-  /** Stores a job; `job` identifies it among the recent submissions. */
+  /** Stores a job's row; `job` identifies it among the recent submissions. */
   async #store(
     req: IntakeRequest,
-    spec: JobSpec,
+    row: RowPut,
     job: string,
   ): Promise<Result<"accepted", Failure>> {
     const recent = this.#recent;
@@ -107,10 +122,10 @@
       const mayBeStored = recent.known(job) === "unknown";
       return toFailure(storeSilent, mayBeStored);
     }
-    const key = inboxKey(req.queue.pool, spec.id);
+    const { table, partition, key } = row;
     const tx = {
-      checks: [{ ...key, version: 0 }],
-      puts: [{ ...key, value: JSON.stringify(spec) }],
+      checks: [{ table, partition, key, version: 0 }],
+      puts: [row],
       removes: [],
     };
     const startedAt = this.clock.now();
@@ -118,7 +133,7 @@
       const outcome = await this.store.commit(tx);
       // On a conflict the row exists already: it holds the same job.
       if (outcome.ok) recent.recordStored(job);
-      else if (outcome.val.kind === "unknown") recent.recordUnknown(job);
+      else if (outcome.val.kind !== "refused") recent.recordUnknown(job);
       const known = recent.known(job);
       if (outcome.ok || known === "stored") return Ok("accepted");
       const mayBeStored = known === "unknown";
--- a/src/scheduler/commit_queue.ts
+++ b/src/scheduler/commit_queue.ts
@@ -34,6 +34,18 @@
 /** Maximum number of rows of a batch; the lease uses the other entries. */
 const maxRowsPerBatch = maxTransactionEntries - leaseTransactionEntries;
 
+/** Callbacks of a {@link CommitQueue}. */
+export interface CommitListener {
+  /** A transaction has failed; its rows are committed again. */
+  onFailure(failure: CommitFailure): void;
+  /**
+   * The store does not accept this row, which is given up. The queue has taken
+   * its key out of the source's dirty set; actions that wait for the row wait
+   * for what the listener makes dirty instead.
+   */
+  onRowRejected(row: StoreRowKey, bytes: number): void;
+}
+
 /** Source of the rows that a {@link CommitQueue} writes. */
 export interface CommitSource {
   /**
@@ -67,10 +79,30 @@
   readonly removes: readonly StoreRowKey[];
 }
 
+/** Size of a row's value, in bytes. */
+function sizeOf({ value }: Pick<RowPut, "value">): number {
+  return Buffer.byteLength(value);
+}
+
+/** Number of rows that a batch writes or removes. */
+function rowCount({ puts, extraPuts, removes }: Batch): number {
+  return puts.length + extraPuts.length + removes.length;
+}
+
+/** Adds keys to a set, in front of those that it has. */
+function addInFront(set: Set<string>, keys: readonly string[]): void {
+  const others = [...set];
+  set.clear();
+  for (const key of [...keys, ...others]) set.add(key);
+}
+
 /**
  * Commits a shard's rows one batch at a time, the longest dirty first. So an
  * action that waits for some rows is not delayed by rows that became dirty
  * later, however long the backlog is.
+ *
+ * A batch that the store does not accept is halved until the row at fault is
+ * alone. That row is given up, so that it does not keep the others back.
  */
 export class CommitQueue {
   #pending: PendingAction[] = [];
@@ -78,6 +110,8 @@
   #extraPuts = new Map<string, RowPut>();
   /** Rows to remove, by table and key. */
   #removes = new Map<string, StoreRowKey>();
+  /** Maximum rows of the next batch; lowered to find a row that is at fault. */
+  #maxRows = maxRowsPerBatch;
   #isRunning = false;
   #isStopped = false;
   /** Settles when the commit loop that was started last has ended. */
@@ -87,7 +121,7 @@
     private readonly lease: ShardLease,
     private readonly clock: Clock,
     private readonly source: CommitSource,
-    private readonly onFailure: (failure: CommitFailure) => void,
+    private readonly listener: CommitListener,
   ) {}
 
   /** Starts no further transaction; one in flight is not cancelled. */
@@ -165,12 +199,14 @@
     this.#pending = [];
     const outcome = await this.lease.commit([...extraPuts, ...puts], removes);
     if (outcome.err) {
-      for (const key of keys) dirty.add(key);
+      addInFront(dirty, keys);
       this.#pending = [...pending, ...this.#pending];
+      this.listener.onFailure(outcome.val);
+      if (outcome.val.kind === "invalid") this.#isolate(batch);
       for (const each of this.#pending) each.rowsLeft = dirty.size;
-      this.onFailure(outcome.val);
       return undefined;
     }
+    this.#maxRows = Math.min(maxRowsPerBatch, 2 * this.#maxRows);
     this.#removeCommitted(extraPuts, removes);
     for (const each of pending) each.rowsLeft -= keys.length;
     const stillPending = pending.filter((each) => each.rowsLeft > 0);
@@ -179,6 +215,21 @@
     return puts.length;
   }
 
+  /** Halves the next batch, or gives up the only row of one that was invalid. */
+  #isolate(batch: Batch): void {
+    const count = rowCount(batch);
+    this.#maxRows = Math.max(1, Math.floor(count / 2));
+    if (count !== 1) return;
+    const { keys, puts, extraPuts, removes } = batch;
+    this.#removeCommitted(extraPuts, removes);
+    for (const key of keys) this.source.dirty.delete(key);
+    for (const row of [...puts, ...extraPuts]) {
+      const { table, partition, key, value } = row;
+      this.listener.onRowRejected({ table, partition, key }, sizeOf({ value }));
+    }
+    for (const row of removes) this.listener.onRowRejected(row, 0);
+  }
+
   /**
    * Takes as many rows as fit into one transaction, and their keys out of the
    * dirty set. Always leaves room for one dirty row, even one that exceeds the
@@ -186,24 +237,25 @@
    */
   #takeBatch(): Batch {
     const { source } = this;
+    const maxRows = this.#maxRows;
     const extraPuts = [...this.#extraPuts.values()].slice(
       0,
-      maxRowsPerBatch - 1,
+      Math.max(1, maxRows - 1),
     );
     const keys: string[] = [];
     const puts: RowPut[] = [];
-    let bytes = 0;
+    let bytes = extraPuts.reduce((sum, row) => sum + sizeOf(row), 0);
     for (const key of source.dirty) {
-      if (extraPuts.length + puts.length >= maxRowsPerBatch) break;
+      if (extraPuts.length + puts.length >= maxRows) break;
       const row = source.rowOf(key);
-      const size = row === undefined ? 0 : Buffer.byteLength(row.value);
+      const size = row === undefined ? 0 : sizeOf(row);
       if (puts.length > 0 && bytes + size > maxTransactionBytes) break;
       bytes += size;
       keys.push(key);
       if (row !== undefined) puts.push(row);
     }
     for (const key of keys) source.dirty.delete(key);
-    const freeEntries = maxRowsPerBatch - extraPuts.length - puts.length;
+    const freeEntries = maxRows - extraPuts.length - puts.length;
     const removes = [...this.#removes.values()].slice(0, freeEntries);
     return { keys, puts, extraPuts, removes };
   }
--- a/src/scheduler/job_registry.ts
+++ b/src/scheduler/job_registry.ts
@@ -4,18 +4,26 @@
  */
 import {
   cancelJob,
+  changedRowKeys,
   decodeProgress,
   dueAt,
-  encodeProgress,
+  encodeProgressRow,
+  failJob,
   hasStarted,
   initialProgress,
   isFinal,
+  isSplit,
   jobOfCancelKey,
   type JobProgress,
   type JobSpec,
   jobSpecSchema,
+  obsoleteRowKeys,
   occurrenceCount,
   openOccurrence,
+  parseProgressRowKey,
+  progressRowKeys,
+  type StoredProgress,
+  taskCount,
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
@@ -38,6 +46,12 @@
   readonly randomFraction: number;
 }
 
+/**
+ * Maximum number of tasks in the open occurrences of a job. It bounds the memory
+ * of the owner and the list of open occurrences in the job's head row.
+ */
+export const maxOpenTasks = 5_000;
+
 /** Maps an id to a number in [0, 1), always the same for the same id. */
 function randomFractionOf(id: string): number {
   return hash32(id) / 2 ** 32;
@@ -47,12 +61,14 @@
 export class JobRegistry {
   /** All jobs, by id. */
   readonly byId = new Map<string, TrackedJob>();
-  /** Ids of jobs whose progress differs from the store. */
+  /** Keys of the progress rows that may differ from the store. */
   readonly dirty = new Set<string>();
   /** Ids of jobs that are not final. */
   readonly active = new Set<string>();
   /** Stored progress of jobs that the inbox has not delivered yet, by id. */
-  readonly #storedProgress = new Map<string, string>();
+  readonly #storedProgress = new Map<string, StoredProgress>();
+  /** Keys of stored rows that are obsolete once the dirty rows are committed. */
+  #obsolete: string[] = [];
   /** Ids of jobs whose cancellation was read before the job itself. */
   readonly #earlyCancellations = new Set<string>();
   /** Ids of forgotten jobs whose row may still be in the inbox. */
@@ -62,7 +78,16 @@
    * Loads the stored progress rows. Must be called before {@link applyInbox}.
    */
   loadStoredProgress(rows: readonly StoreRow[]): void {
-    for (const row of rows) this.#storedProgress.set(row.key, row.value);
+    for (const row of rows) {
+      const { job, part } = parseProgressRowKey(row.key);
+      const { head, parts } = this.#storedProgress.get(job) ?? { parts: [] };
+      this.#storedProgress.set(
+        job,
+        part === undefined
+          ? { head: row.value, parts }
+          : { head, parts: [...parts, row] },
+      );
+    }
   }
 
   /**
@@ -89,30 +114,61 @@
   }
 
   /**
-   * Replaces a job's progress and marks it dirty; does nothing if it is the
-   * same.
+   * Replaces a job's progress and marks the changed rows dirty; does nothing if
+   * it is the same.
    */
   update(job: TrackedJob, progress: JobProgress, now: number): void {
     if (progress === job.progress) return;
+    const { spec, progress: before } = job;
     job.progress = progress;
-    this.dirty.add(job.spec.id);
+    for (const key of changedRowKeys(spec, before, progress)) {
+      this.dirty.add(key);
+    }
+    this.#obsolete.push(...obsoleteRowKeys(spec, before, progress));
     this.#updatePhaseIndex(job, now);
   }
 
   /**
-   * Opens the occurrences of a job that are due at the wall-clock time `wall`.
-   * Does not mark the job dirty.
+   * Opens the occurrences of a job that are due at the wall-clock time `wall`,
+   * as far as {@link maxOpenTasks} allows. Does not mark the job dirty. Returns
+   * whether a due occurrence has to wait for others to end.
    */
-  openDue(job: TrackedJob, wall: number, now: number): void {
+  openDue(job: TrackedJob, wall: number, now: number): boolean {
     const { spec } = job;
+    const tasks = taskCount(spec.steps);
     while (
       !isFinal(job.progress.phase) &&
       job.progress.nextOccurrence < occurrenceCount(spec) &&
       wall >= dueAt(spec, job.progress.nextOccurrence)
     ) {
+      const { open } = job.progress;
+      if (open.size > 0 && (open.size + 1) * tasks > maxOpenTasks) return true;
       job.progress = openOccurrence(job.progress, spec);
       this.#updatePhaseIndex(job, now);
     }
+    return false;
+  }
+
+  /**
+   * Fails the job of a progress row that the store does not accept. It keeps no
+   * tasks, so that its head row is small. Returns its id; undefined if the job is
+   * not known or its head row is already that small, and then is not stored.
+   */
+  failUnstorable(key: string, now: number): string | undefined {
+    const job = this.byId.get(parseProgressRowKey(key).job);
+    if (job === undefined) return undefined;
+    const { phase, open } = job.progress;
+    if (isFinal(phase) && open.size === 0) return undefined;
+    const failed = { ...failJob(job.progress), open: new Map() };
+    this.update(job, failed, now);
+    return job.spec.id;
+  }
+
+  /** Keys of the rows that have become obsolete since the last call. */
+  takeObsoleteRows(): readonly string[] {
+    const keys = this.#obsolete;
+    this.#obsolete = [];
+    return keys;
   }
 
   /** Records that a task failed or stalled at an endpoint. */
@@ -133,10 +189,12 @@
     return counts;
   }
 
-  /** Progress of a job as it is stored; undefined for an unknown job. */
-  encodedProgress(id: string): string | undefined {
-    const job = this.byId.get(id);
-    return job && encodeProgress(job.progress);
+  /**
+   * Value of a progress row; undefined for an unknown job or an obsolete row.
+   */
+  encodedProgress(key: string): string | undefined {
+    const job = this.byId.get(parseProgressRowKey(key).job);
+    return job && encodeProgressRow(job.spec, job.progress, key);
   }
 
   /** Ids of the jobs that have been final for more than `ageMs`. */
@@ -160,14 +218,17 @@
 
   /**
    * Removes a job from the registry. Its row in the inbox is not accepted again
-   * before it has been removed.
+   * before it has been removed. Returns the keys of its progress rows.
    */
-  forget(id: string): void {
+  forget(id: string): readonly string[] {
+    const job = this.byId.get(id);
+    const rows = job ? progressRowKeys(job.spec, job.progress) : [];
     this.#forgotten.add(id);
     this.byId.delete(id);
-    this.dirty.delete(id);
+    for (const key of rows) this.dirty.delete(key);
     this.active.delete(id);
     this.#earlyCancellations.delete(id);
+    return rows;
   }
 
   /** Adds the job of an inbox row; undefined if it is known or invalid. */
@@ -191,10 +252,30 @@
     };
     this.byId.set(spec.id, job);
     this.#updatePhaseIndex(job, now);
+    if (stored !== undefined) this.#reconcileRows(job, stored);
     if (this.#earlyCancellations.has(spec.id)) this.#cancel(spec.id, now);
     return job;
   }
 
+  /**
+   * Marks the rows of a loaded job that may have to be written: the head, as the
+   * parts may tell more than it, and before it the parts if an older release has
+   * stored the job in one row. Notes the parts that a crash has left behind.
+   */
+  #reconcileRows(
+    { spec, progress }: TrackedJob,
+    { parts }: StoredProgress,
+  ): void {
+    if (!isSplit(spec)) return;
+    const [head, ...partKeys] = progressRowKeys(spec, progress);
+    if (parts.length === 0) { for (const key of partKeys) this.dirty.add(key); }
+    this.dirty.add(head);
+    const current = new Set(partKeys);
+    this.#obsolete.push(
+      ...parts.map(({ key }) => key).filter((key) => !current.has(key)),
+    );
+  }
+
   /** Cancels a job, now or once it is accepted. */
   #cancel(id: string, now: number): TrackedJob | undefined {
     const job = this.byId.get(id);
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -22,6 +22,7 @@
   partitionsOf,
   type StoreRow,
   type StoreRowChange,
+  type StoreRowKey,
   TableWatch,
 } from "../store/index.ts";
 import { DemandReporter, type PoolEndpoint } from "../capacity/index.ts";
@@ -85,6 +86,8 @@
   readonly #reports: ShardReports;
   readonly #advisedSteps: AdvisedSteps;
   #isStopped = false;
+  /** Ids of jobs of which a due occurrence has to wait for others to end. */
+  readonly #heldBack = new Set<string>();
   /** Monotonic time in ms since which polls of the inbox have failed. */
   #inboxLostAt: number | undefined;
 
@@ -98,13 +101,16 @@
     );
     this.commits = new CommitQueue(lease, clock, {
       dirty: this.jobs.dirty,
-      rowOf: (id) => {
-        const value = this.jobs.encodedProgress(id);
+      rowOf: (key) => {
+        const value = this.jobs.encodedProgress(key);
         return value === undefined
           ? undefined
-          : { ...progressKey(shard, id), value };
+          : { ...progressKey(shard, key), value };
       },
-    }, (failure) => this.#handleCommitFailure(failure));
+    }, {
+      onFailure: (failure) => this.#handleCommitFailure(failure),
+      onRowRejected: (row, bytes) => this.#handleRejectedRow(row, bytes),
+    });
     this.#demandReporter = new DemandReporter({
       ...deps,
       runTimes: this.#runTimes,
@@ -248,7 +254,7 @@
   #takeJobs(jobs: readonly TrackedJob[]): void {
     const { clock, log, shard } = this.deps;
     for (const job of jobs) {
-      this.jobs.openDue(job, clock.wall(), clock.now());
+      this.#openDue(job, clock.wall(), clock.now());
       log.decision("job-taken", {
         job: job.spec.id,
         shard,
@@ -310,8 +316,9 @@
     const wall = clock.wall();
     for (const id of this.jobs.active) {
       const job = this.jobs.byId.get(id);
-      if (job?.spec.schedule !== undefined) this.jobs.openDue(job, wall, now);
+      if (job?.spec.schedule !== undefined) this.#openDue(job, wall, now);
     }
+    this.#removeObsoleteRows();
     this.driver.syncWithRegistry();
     this.#supervisor.pass();
     this.#expireJobs(now);
@@ -326,6 +333,35 @@
     return Promise.resolve(tickPeriodMs);
   }
 
+  /**
+   * Opens the due occurrences of a job. Logs when one has to wait for others
+   * to end, once until none has to.
+   */
+  #openDue(job: TrackedJob, wall: number, now: number): void {
+    const { id } = job.spec;
+    const isHeldBack = this.jobs.openDue(job, wall, now);
+    if (!isHeldBack) this.#heldBack.delete(id);
+    if (!isHeldBack || this.#heldBack.has(id)) return;
+    this.#heldBack.add(id);
+    this.deps.log.decision("occurrence-held-back", {
+      shard: this.deps.shard,
+      job: id,
+      open: job.progress.open.size,
+      next: job.progress.nextOccurrence,
+    });
+  }
+
+  /** Removes rows that are obsolete once the present state is committed. */
+  #removeObsoleteRows(): void {
+    const keys = this.jobs.takeObsoleteRows();
+    if (keys.length === 0) return;
+    this.commits.whenCommitted(() => {
+      for (const key of keys) {
+        this.commits.remove(progressKey(this.deps.shard, key));
+      }
+    });
+  }
+
   /** Renews the lease if nothing has been committed for long. */
   #renewLease(): void {
     if (this.deps.lease.ageMs > maxCommitIntervalMs) this.commits.flush();
@@ -352,10 +388,12 @@
   #expireJobs(now: number): void {
     const { shard } = this.deps;
     for (const id of this.jobs.expiredJobs(now, finalJobRetentionMs)) {
-      this.jobs.forget(id);
+      this.#heldBack.delete(id);
       this.commits.remove(inboxKey(shard, id));
       this.commits.remove(cancelKey(shard, id));
-      this.commits.remove(progressKey(shard, id));
+      for (const key of this.jobs.forget(id)) {
+        this.commits.remove(progressKey(shard, key));
+      }
     }
   }
 
@@ -377,6 +415,21 @@
     if (failure.kind === "lost") this.#stopAfterLoss(failure.message);
   }
 
+  /**
+   * Logs a row that the store does not accept. If it is of a job's progress, the
+   * job can't go on: it fails, and its runs are stopped.
+   */
+  #handleRejectedRow({ table, key }: StoreRowKey, bytes: number): void {
+    const { clock, log, shard, lease } = this.deps;
+    const { term } = lease;
+    const isProgress = table === progressKey(shard, key).table;
+    const job = isProgress
+      ? this.jobs.failUnstorable(key, clock.now())
+      : undefined;
+    log.decision("row-rejected", { shard, term, table, key, bytes, job });
+    if (job !== undefined) this.driver.stopJob(job);
+  }
+
   /** Stops because the shard has another owner; calls `onLost` once. */
   #stopAfterLoss(reason: string): void {
     if (this.#isStopped) return;
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -37,6 +37,9 @@
   readonly removes: readonly StoreRowKey[];
 }
 
+/** Maximum size of a row's value, in bytes. */
+export const maxRowBytes = 65_536;
+
 /** Maximum entries (checks, puts and removes) of one transaction. */
 export const maxTransactionEntries = 100;
 
@@ -57,10 +60,12 @@
 export interface StoreFailure {
   /**
    * `refused`: the call had no effect. `unknown`: it may have taken effect, or
-   * may still do so. `expired`: the feed's history no longer reaches back to
-   * the requested version.
+   * may still do so. `invalid`: the store says that it does not accept such a
+   * call, so that there is no use in repeating it; it proves no more than
+   * `unknown` that the call had no effect. `expired`: the feed's history no longer
+   * reaches back to the requested version.
    */
-  readonly kind: "refused" | "unknown" | "expired";
+  readonly kind: "refused" | "unknown" | "invalid" | "expired";
   readonly message: string;
 }
 
--- a/test/batch/progress_test.ts
+++ b/test/batch/progress_test.ts
@@ -4,8 +4,9 @@
 import fc from "fast-check";
 import {
   cancelJob,
+  changedRowKeys,
   decodeProgress,
-  encodeProgress,
+  encodeProgressRow,
   initialProgress,
   type JobProgress,
   type JobSpec,
@@ -18,6 +19,7 @@
   taskAt,
 } from "../../src/batch/index.ts";
 import { makeJob, plainStep } from "../../sim/jobs.ts";
+import { maxRowBytes } from "../../src/store/index.ts";
 
 const chain = makeJob(1, "chain", "quotes", 0);
 const firstTask = { occurrence: 0, step: 0, index: 0 };
@@ -158,15 +160,122 @@
             p = place(p, chain, ref);
             if (pick < 7) p = recordRunEnd(p, chain, ref, run, runEnd, "c");
           }
-          assert.deepEqual(decodeProgress(encodeProgress(p), chain), p);
+          const head = encodeProgressRow(chain, p, chain.id);
+          assert.deepEqual(decodeProgress({ head, parts: [] }, chain), p);
         }),
         { seed: 1 },
       );
     });
 
+    describe("of a job with more tasks than one row holds", () => {
+      const longRun = Number.MAX_SAFE_INTEGER;
+      const wide: JobSpec = {
+        ...chain,
+        steps: [plainStep(130, []), { ...plainStep(3, [0]), gang: true }],
+        schedule: { firstAtMs: 0, periodMs: 1, count: 3 },
+      };
+      const start = openOccurrence(openFirst(wide), wide);
+
+      /** Applies changes and returns the rows after each of them. */
+      function play(picks: readonly (readonly [number, RunEnd])[]) {
+        const rows = new Map<string, string>();
+        const states: { p: JobProgress; changed: readonly string[] }[] = [];
+        let p = start;
+        for (const [pick, runEnd] of picks) {
+          const before = p;
+          const refs = startableTasks(p, wide);
+          if (refs.length === 0) break;
+          const ref = refs[pick % refs.length];
+          const run = nextRunNumber(p, wide, ref);
+          p = place(p, wide, ref);
+          if (pick % 4 > 0) p = recordRunEnd(p, wide, ref, run, runEnd, "c");
+          states.push({ p, changed: changedRowKeys(wide, before, p) });
+        }
+        return { rows, states };
+      }
+
+      function decode(rows: ReadonlyMap<string, string>) {
+        const parts = [...rows].map(([key, value]) => ({ key, value }))
+          .filter(({ key }) => key !== wide.id);
+        return decodeProgress({ head: rows.get(wide.id), parts }, wide);
+      }
+
+      function store(rows: Map<string, string>, p: JobProgress, key: string) {
+        const value = encodeProgressRow(wide, p, key);
+        if (value !== undefined) rows.set(key, value);
+      }
+
+      const picks = fc.array(fc.tuple(fc.nat(500), end), { maxLength: 60 });
+
+      it("decodes to the value whose changed rows were written", () => {
+        fc.assert(
+          fc.property(picks, (drawn) => {
+            const { rows, states } = play(drawn);
+            for (const { p, changed } of states) {
+              for (const key of changed) store(rows, p, key);
+            }
+            const last = states.at(-1)?.p;
+            if (last !== undefined) assert.deepEqual(decode(rows), last);
+          }),
+          { seed: 1 },
+        );
+      });
+
+      // Guards against TWICE: a crash between two transactions leaves some rows
+      // of a job older than others.
+      it("keeps what each row tells, whichever of them were written", () => {
+        fc.assert(
+          fc.property(picks, fc.infiniteStream(fc.boolean()), (drawn, coin) => {
+            const { rows, states } = play(drawn);
+            const stored = new Map<string, JobProgress>();
+            for (const { p, changed } of states) {
+              for (const key of changed) {
+                if (!coin.next().value) continue;
+                store(rows, p, key);
+                stored.set(key, p);
+              }
+            }
+            const decoded = decode(rows);
+            for (const [key, p] of stored) {
+              const written = encodeProgressRow(wide, p, key);
+              assert.ok(decoded !== undefined);
+              if (key === wide.id) continue;
+              assert.equal(encodeProgressRow(wide, decoded, key), written);
+            }
+          }),
+          { seed: 2 },
+        );
+      });
+
+      it("fits into rows with the longest ids and checkpoints", () => {
+        let p = start;
+        for (let index = 0; index < 130; index++) {
+          const ref = { ...firstTask, index };
+          const endpoint = "e".repeat(200);
+          p = placeTask(p, ref, { run: longRun, endpoint, life: longRun });
+          const checkpoint = "c".repeat(254);
+          p = recordRunEnd(p, wide, ref, longRun, "stopped", checkpoint);
+          p = placeTask(p, ref, { run: longRun, endpoint, life: longRun });
+        }
+        for (const key of changedRowKeys(wide, start, p)) {
+          const bytes = encodeProgressRow(wide, p, key)?.length ?? 0;
+          assert.ok(bytes <= maxRowBytes, `${key}: ${bytes} bytes`);
+        }
+      });
+
+      it("is read from the one row of an older release", () => {
+        const p = place(start, wide);
+        const tasks = [[0, 0, 0, 0, 1, 0, "", [1, "e", 1]]];
+        const head = { phase: "queued", next: 2, completed: 0, open: [0, 1] };
+        const value = JSON.stringify({ ...head, tasks });
+        assert.deepEqual(decodeProgress({ head: value, parts: [] }, wide), p);
+      });
+    });
+
     it("rejects invalid rows", () => {
-      assert.equal(decodeProgress("{", chain), undefined);
-      assert.equal(decodeProgress('{"phase":"odd"}', chain), undefined);
+      for (const head of ["{", '{"phase":"odd"}']) {
+        assert.equal(decodeProgress({ head, parts: [] }, chain), undefined);
+      }
     });
   });
 });
--- a/test/intake/intake_test.ts
+++ b/test/intake/intake_test.ts
@@ -5,9 +5,15 @@
 import { ModelStore } from "../../sim/model_store.ts";
 import { queueForPool } from "../../sim/pools.ts";
 import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
+import { Err } from "ts-results";
+import type { JobSpec } from "../../src/batch/index.ts";
 import { codes } from "../../src/errors/index.ts";
 import { Intake } from "../../src/intake/index.ts";
-import { type Store, StoreBreaker } from "../../src/store/index.ts";
+import {
+  maxRowBytes,
+  type Store,
+  StoreBreaker,
+} from "../../src/store/index.ts";
 
 const entry = "e";
 
@@ -33,10 +39,11 @@
   });
 
   /** Submits a job; returns the result code, 0 if accepted, and the duration. */
-  async function submit(number: number) {
+  async function submit(number: number, changes: Partial<JobSpec> = {}) {
     const startedAt = clock.now();
     const queue = queueForPool("quotes");
-    const spec = makeJob(number, "single", "quotes", clock.wall());
+    const made = makeJob(number, "single", "quotes", clock.wall());
+    const spec = { ...made, ...changes };
     const deadline = startedAt + callerTimeoutMs;
     let answer: { readonly code: number; readonly ms: number } | undefined;
     intake.submit({ queue, job: spec.id, deadline }, spec).then((result) => {
@@ -50,6 +57,15 @@
     return answer;
   }
 
+  /** The calls of the store behind the breaker. */
+  function breakerCalls(): Store {
+    return {
+      commit: (tx) => breaker.commit(tx),
+      range: (query) => breaker.range(query),
+      feed: (table, after, waitMs) => breaker.feed(table, after, waitMs),
+    };
+  }
+
   /** Polls the store every 200 ms, like an entry that follows a table. */
   async function poll(times: number): Promise<void> {
     for (let i = 0; i < times; i++) {
@@ -66,6 +82,24 @@
     assert.equal(model.table("inbox-quotes").length, 1);
   });
 
+  // Guards against telling a caller "not run" about a job that was stored: an
+  // intermediary may have sent the status that the store does not accept it.
+  it("is not rejected when the store calls it invalid", async () => {
+    const invalid = { kind: "invalid", message: "status 400" } as const;
+    const commit = () => Promise.resolve(Err(invalid));
+    intake = new Intake({ ...breakerCalls(), commit }, clock, breaker);
+    assert.equal((await submit(1)).code, codes.recordUnknown.code);
+  });
+
+  // Guards against LOST: a job that no row holds can't be accepted.
+  it("of a job that no row holds is rejected at once", async () => {
+    const payload = "x".repeat(maxRowBytes);
+    const { code, ms } = await submit(1, { payload });
+    assert.equal(code, codes.jobTooLarge.code);
+    assert.ok(ms <= 10, `${ms} ms`);
+    assert.equal(model.table("inbox-quotes").length, 0);
+  });
+
   describe("when several consecutive store calls have failed", () => {
     it("is rejected immediately, without a call to the store", async () => {
       model.setBehavior(entry, "refuses");
--- a/test/platform/store_client_test.ts
+++ b/test/platform/store_client_test.ts
@@ -7,7 +7,13 @@
 const emptyTransaction = { checks: [], puts: [], removes: [] };
 
 /** Statuses that do not confirm that a transaction was not applied. */
-const unconfirmedStatuses = [400, 403, 404, 408, 410, 500, 502, 504, 507];
+const unconfirmedStatuses = [404, 408, 410, 500, 502, 504, 507];
+
+/**
+ * Statuses that say so of a transaction that there is no use in repeating. They
+ * don't confirm either that it was not applied.
+ */
+const invalidStatuses = [400, 403, 413];
 
 describe("the store client", () => {
   let server: StatusServer;
@@ -41,6 +47,18 @@
     }
   });
 
+  // Guards against LOST: a transaction that is never accepted was repeated for
+  // ever.
+  describe("on a commit that is never accepted", () => {
+    for (const status of invalidStatuses) {
+      it(`tells status ${status} from other failures`, async () => {
+        server.status = status;
+        const outcome = await store.commit(emptyTransaction);
+        assert.equal(outcome.err && outcome.val.kind, "invalid");
+      });
+    }
+  });
+
   describe("on a feed", () => {
     it("takes status 410 as the end of the history", async () => {
       server.status = 410;
--- a/test/scheduler/commit_queue_test.ts
+++ b/test/scheduler/commit_queue_test.ts
@@ -4,13 +4,17 @@
 import { ModelStore } from "../../sim/model_store.ts";
 import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
 import { CommitQueue } from "../../src/scheduler/index.ts";
-import { maxTransactionBytes } from "../../src/store/index.ts";
+import { maxRowBytes, maxTransactionBytes } from "../../src/store/index.ts";
 import { acquireLease } from "../cluster/acquire_lease.ts";
 
 const shard = "s";
 
 /** Creates a queue with `count` dirty rows of `bytes` bytes each. */
-async function setUp(count: number, bytes: number) {
+async function setUp(
+  count: number,
+  bytes: number,
+  bytesOf: (key: string) => number = () => bytes,
+) {
   const clock = new VirtualClock();
   const model = new ModelStore(clock, () => 1);
   const store = model.connect("a", new ProcessClock(clock));
@@ -19,14 +23,20 @@
   await clock.advance(100);
   const lease = await acquired;
   const failures: string[] = [];
+  const rejectedKeys: string[] = [];
   const dirty = new Set(Array.from({ length: count }, (_, i) => `job-${i}`));
-  const value = "x".repeat(bytes);
-  const rowOf = (key: string) => ({ table: "t", partition: shard, key, value });
+  const rowOf = (key: string) => {
+    const value = "x".repeat(bytesOf(key));
+    return { table: "t", partition: shard, key, value };
+  };
   const queue = new CommitQueue(
     lease,
     clock,
     { dirty, rowOf },
-    (failure) => failures.push(failure.message),
+    {
+      onFailure: (failure) => failures.push(failure.message),
+      onRowRejected: ({ key }) => rejectedKeys.push(key),
+    },
   );
   const advance = async (ms: number) => {
     for (let left = ms; left > 0; left -= 10) {
@@ -34,7 +44,7 @@
       await clock.flush();
     }
   };
-  return { queue, model, dirty, failures, advance };
+  return { queue, model, dirty, failures, rejectedKeys, advance };
 }
 
 describe("CommitQueue", () => {
@@ -89,6 +99,31 @@
       assert.ok(written < 0.4 * changes, `${written} rows, ${changes} changes`);
     });
 
+    // Guards against LOST: a transaction with a row that the store does not
+    // accept was repeated for ever, and no other row of the shard was stored.
+    it("commits all rows but one that the store does not accept", async () => {
+      const { queue, dirty, model, rejectedKeys, advance } = await setUp(
+        250,
+        10,
+        (key) => key === "job-60" ? maxRowBytes + 1 : 10,
+      );
+      let storedLater = 0;
+      queue.whenCommitted(() => storedLater = model.table("t").length);
+      await advance(5_000);
+      assert.deepEqual(rejectedKeys, ["job-60"]);
+      assert.equal(storedLater, 249);
+      assert.equal(dirty.size, 0);
+    });
+
+    it("gives up a report that the store does not accept", async () => {
+      const { queue, model, rejectedKeys, advance } = await setUp(3, 10);
+      const report = { table: "t", partition: shard, key: "report" };
+      queue.put({ ...report, value: "x".repeat(maxRowBytes + 1) });
+      await advance(5_000);
+      assert.deepEqual(rejectedKeys, ["report"]);
+      assert.equal(model.table("t").length, 3);
+    });
+
     it("commits many small rows in several transactions", async () => {
       const { queue, model, failures, advance } = await setUp(250, 10);
       let stored = 0;
--- a/test/scheduler/shard_owner_test.ts
+++ b/test/scheduler/shard_owner_test.ts
@@ -6,7 +6,7 @@
 import { ModelStore } from "../../sim/model_store.ts";
 import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
 import {
-  encodeProgress,
+  encodeProgressRow,
   inboxKey,
   initialProgress,
   progressKey,
@@ -35,7 +35,7 @@
       const jobs = [1, 2, 3].map((n) => makeJob(n, "single", shard, 0));
       for (const job of jobs) {
         model.write(inboxKey(shard, job.id), JSON.stringify(job));
-        const value = encodeProgress(initialProgress);
+        const value = encodeProgressRow(job, initialProgress, job.id);
         model.write(progressKey(shard, job.id), value);
       }
       const lease = await advanceUntil(
