Reserve endpoints only for steps to which their room will come

Cause: a placement pass ended at eight steps that fitted nowhere, to keep large tasks from starving behind small ones; it did not ask what kept them from it.

Fix: a step that fits nowhere waits for the endpoints on which it fits once the runs that end soon are over. From eight such steps on, these endpoints are reserved for them and the others stay open to tasks of lower rank. A label that no endpoint has, a limit of tasks per endpoint, a demand beyond any endpoint, a gang wider than the pool, missing tickets, and room that long-running tasks or runs of over 10 s use are waited for by no step.

Ruled out: deferral, endpoints offered to other pools.

--- a/src/batch/index.ts
+++ b/src/batch/index.ts
@@ -19,4 +19,10 @@
 } from "./progress_row.ts";
 export * from "./ready_steps.ts";
 export * from "./rows.ts";
-export { parseTaskName, stepName, taskName, type TaskRef } from "./task_ref.ts";
+export {
+  parseTaskName,
+  stepName,
+  type StepRef,
+  taskName,
+  type TaskRef,
+} from "./task_ref.ts";
--- a/src/batch/task_ref.ts
+++ b/src/batch/task_ref.ts
@@ -1,9 +1,13 @@
 /** Task names of the form `JOB.OCCURRENCE.STEP.INDEX`. */
 
-/** Position of a task within its job. */
-export interface TaskRef {
+/** Position of a step within its job. */
+export interface StepRef {
   readonly occurrence: number;
   readonly step: number;
+}
+
+/** Position of a task within its job. */
+export interface TaskRef extends StepRef {
   readonly index: number;
 }
 
@@ -13,7 +17,7 @@
 }
 
 /** Formats the name of a task's step within its occurrence. */
-export function stepName(job: string, ref: TaskRef): string {
+export function stepName(job: string, ref: StepRef): string {
   return `${job}.${ref.occurrence}.${ref.step}`;
 }
 
--- a/src/scheduler/advised_steps.ts
+++ b/src/scheduler/advised_steps.ts
@@ -4,7 +4,7 @@
  * service, which decides which endpoints may run a step. Its tasks start only
  * with a ticket of that service.
  */
-import { startableTasks, stepName, type TaskRef } from "../batch/index.ts";
+import { startableTasks, stepName, type StepRef } from "../batch/index.ts";
 import type { EndpointSession, Run } from "./endpoint_session.ts";
 import type { TrackedJob } from "./job_registry.ts";
 import { TicketCache, type TicketCacheDependencies } from "./ticket_cache.ts";
@@ -32,7 +32,7 @@
    */
   ticketFor(
     { spec }: TrackedJob,
-    ref: TaskRef,
+    ref: StepRef,
     endpoint: string,
   ): string | undefined {
     if (!spec.advised) return "";
--- a/src/scheduler/endpoint_candidate.ts
+++ b/src/scheduler/endpoint_candidate.ts
@@ -7,6 +7,7 @@
  */
 import {
   addResources,
+  noResources,
   reservedResources,
   type Resources,
   stepName,
@@ -16,8 +17,16 @@
 import { type PlacementCandidate } from "./endpoint_choice.ts";
 import { failureRatio } from "./failure_history.ts";
 
-/** The task for which a pass is choosing an endpoint. */
+/**
+ * Age from which a run is not expected to end soon, in ms. It is longer than
+ * most runs take on a slow endpoint.
+ */
+const maxSoonEndingRunMs = 10_000;
+
+/** The task for which a pass is choosing an endpoint, and the time. */
 export interface CurrentTask {
+  /** Monotonic time of the pass, in ms. */
+  readonly now: number;
   /** Name of its step and occurrence, `JOB.OCCURRENCE.STEP`. */
   stepName: string;
   /** Ids of the endpoints where the task has failed; undefined for none. */
@@ -27,6 +36,8 @@
 /** State of a candidate to which it can be restored. */
 export interface EndpointSnapshot {
   readonly used: Resources;
+  /** Resources of the long-running tasks that the pass has planned there. */
+  readonly plannedLastingUse: Resources;
   /** Number of tasks that the pass has planned there. */
   readonly placedCount: number;
 }
@@ -40,6 +51,10 @@
   used: Resources;
   /** Step names of the tasks that the pass has planned here, oldest first. */
   readonly #placedSteps: string[] = [];
+  /** Resources of the long-running tasks that the pass has planned here. */
+  #plannedLastingUse = noResources;
+  /** Resources of the present runs that do not end soon, once computed. */
+  #runsLastingUse: Resources | undefined;
   /**
    * Number of runs before the pass, by step name; computed on first use,
    * because most passes do not need it.
@@ -80,6 +95,15 @@
     return planned + (this.#runsByStep.get(name) ?? 0);
   }
 
+  /**
+   * Resources that are not expected to be free soon: those of long-running
+   * tasks, and of runs that have lasted for long.
+   */
+  get lastingUse(): Resources {
+    this.#runsLastingUse ??= sumLastingUse(this.session, this.current.now);
+    return addResources(this.#runsLastingUse, this.#plannedLastingUse);
+  }
+
   /** Whether the current task has failed on this endpoint. */
   get failedHere(): boolean {
     return this.current.failedEndpoints?.has(this.id) ?? false;
@@ -87,18 +111,32 @@
 
   /** Reserves the resources of one task of the current step. */
   reserve(step: StepSpec): void {
-    this.used = addResources(this.used, reservedResources(step));
+    const resources = reservedResources(step);
+    this.used = addResources(this.used, resources);
+    if (step.longRunning) {
+      this.#plannedLastingUse = addResources(
+        this.#plannedLastingUse,
+        resources,
+      );
+    }
     this.#placedSteps.push(this.current.stepName);
   }
 
   /** Returns a snapshot of the present state. */
   save(): EndpointSnapshot {
-    return { used: this.used, placedCount: this.#placedSteps.length };
+    return {
+      used: this.used,
+      plannedLastingUse: this.#plannedLastingUse,
+      placedCount: this.#placedSteps.length,
+    };
   }
 
   /** Restores the state of a snapshot. */
-  restore({ used, placedCount }: EndpointSnapshot): void {
+  restore(
+    { used, plannedLastingUse, placedCount }: EndpointSnapshot,
+  ): void {
     this.used = used;
+    this.#plannedLastingUse = plannedLastingUse;
     this.#placedSteps.length = placedCount;
   }
 }
@@ -114,3 +152,14 @@
   }
   return counts;
 }
+
+/** Sums the resources of the runs that do not end soon after `now`. */
+function sumLastingUse({ runs }: EndpointSession, now: number): Resources {
+  let sum = noResources;
+  for (const { step, phaseChangedAt } of runs.values()) {
+    const isLasting = step.longRunning ||
+      now - phaseChangedAt >= maxSoonEndingRunMs;
+    if (isLasting) sum = addResources(sum, reservedResources(step));
+  }
+  return sum;
+}
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -26,7 +26,7 @@
   isEligible,
   type PlacementCandidate,
 } from "./endpoint_choice.ts";
-export { planStarts } from "./planner.ts";
+export { type EndpointPolicy, planStarts } from "./planner.ts";
 export { TicketCache } from "./ticket_cache.ts";
 export { RunTimes } from "./run_times.ts";
 export { ShardOwner } from "./shard_owner.ts";
--- a/src/scheduler/placer.ts
+++ b/src/scheduler/placer.ts
@@ -6,6 +6,7 @@
 import {
   nextRunNumber,
   placeTask,
+  type StepRef,
   taskAt,
   taskName,
   type TaskRef,
@@ -79,7 +80,7 @@
     return {
       isClosed: (id: string) => vacating.has(id) || offers.isClosed(id, now),
       mayBeMoved: (id: string) => offers.mayBeMoved(id, now),
-      lacksTicket: (job: TrackedJob, ref: TaskRef, id: string) =>
+      lacksTicket: (job: TrackedJob, ref: StepRef, id: string) =>
         advisedSteps.ticketFor(job, ref, id) === undefined,
     };
   }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -9,6 +9,7 @@
   type ReadyStep,
   readySteps,
   stepName,
+  type StepRef,
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
@@ -17,6 +18,7 @@
 import { occurrenceKey, rankOfJob } from "./job_rank.ts";
 import { UnplacedDemands } from "./unplaced_demands.ts";
 import { compareRanks, deferRank, type Rank } from "./task_order.ts";
+import { awaitedEndpoints } from "./awaited_endpoints.ts";
 import { chooseEndpoint } from "./endpoint_choice.ts";
 import type { RunTimes } from "./run_times.ts";
 import { type CurrentTask, EndpointCandidate } from "./endpoint_candidate.ts";
@@ -51,18 +53,19 @@
    */
   mayBeMoved(endpoint: string): boolean;
   /** Returns whether the task needs a ticket there that is not available. */
-  lacksTicket(job: TrackedJob, ref: TaskRef, endpoint: string): boolean;
+  lacksTicket(job: TrackedJob, ref: StepRef, endpoint: string): boolean;
 }
 
 /** Most tasks that one pass places; the others wait for the next pass. */
 const maxPlannedTasks = 300;
 
 /**
- * Number of steps without a fitting endpoint at which a pass ends. If it went
- * on, small tasks of lower rank would fill each gap, and the larger tasks ahead
- * of them would never get the resources that they wait for.
+ * Number of steps that wait for endpoints from which these endpoints are
+ * reserved for them. Otherwise small tasks of lower rank would fill each gap, and
+ * the larger tasks ahead of them would never get the resources that they wait
+ * for.
  */
-const maxUnplacedSteps = 8;
+const minStepsForReservation = 8;
 
 /** Returns the endpoints that may receive tasks in this pass. */
 function openEndpoints(
@@ -127,7 +130,8 @@
 
 /** State that the functions of one pass share. */
 interface PassState {
-  readonly endpoints: readonly EndpointCandidate[];
+  /** Endpoints that are not reserved for steps of higher rank. */
+  endpoints: readonly EndpointCandidate[];
   readonly current: CurrentTask;
   readonly policy: EndpointPolicy;
 }
@@ -136,7 +140,7 @@
 function eligibleEndpoints(
   { endpoints, policy }: PassState,
   job: TrackedJob,
-  ref: TaskRef,
+  ref: StepRef,
 ): readonly EndpointCandidate[] {
   const isProtected = job.spec.steps[ref.step].maxUnavailable !== undefined;
   if (!isProtected && !job.spec.advised) return endpoints;
@@ -161,7 +165,6 @@
 ): PlannedTask | undefined {
   const { endpoints, current } = pass;
   const step = job.spec.steps[ref.step];
-  current.stepName = stepName(job.spec.id, ref);
   current.failedEndpoints = job.failedEndpoints.get(taskName(job.spec.id, ref));
   const isRackLocal = step.rackLocal || step.gang;
   const rack = isRackLocal ? rackOfStep(endpoints) : undefined;
@@ -219,6 +222,25 @@
   return { tasks: planned, isIncomplete: false };
 }
 
+/** Collects the endpoints that steps wait for, and reserves them. */
+class Reservations {
+  readonly #awaited = new Set<EndpointCandidate>();
+  #stepCount = 0;
+
+  /** Adds a step of which a task fits nowhere now. */
+  add(pass: PassState, { job, ready }: WaitingStep): void {
+    const { occurrence, step, waiting } = ready;
+    const spec = job.spec.steps[step];
+    const eligible = eligibleEndpoints(pass, job, { occurrence, step });
+    const awaited = awaitedEndpoints(spec, eligible, waiting);
+    if (awaited.length === 0) return;
+    this.#stepCount++;
+    for (const endpoint of awaited) this.#awaited.add(endpoint);
+    if (this.#stepCount < minStepsForReservation) return;
+    pass.endpoints = pass.endpoints.filter((e) => !this.#awaited.has(e));
+  }
+}
+
 /** Plans which tasks start on which endpoints in one placement pass. */
 export function planStarts(
   jobs: Iterable<TrackedJob>,
@@ -226,22 +248,30 @@
   policy: EndpointPolicy,
   context: PlanContext,
 ): readonly PlannedTask[] {
-  const current: CurrentTask = { stepName: "", failedEndpoints: undefined };
-  const endpoints = openEndpoints(sessions, policy, current, context.now);
-  if (endpoints.length === 0) return [];
+  const { now } = context;
+  const current: CurrentTask = {
+    now,
+    stepName: "",
+    failedEndpoints: undefined,
+  };
+  const endpoints = openEndpoints(sessions, policy, current, now);
   const pass: PassState = { endpoints, current, policy };
   const planned: PlannedTask[] = [];
   const unplaced = new UnplacedDemands();
+  const reservations = new Reservations();
   for (const waiting of waitingSteps(jobs, context)) {
     const remaining = maxPlannedTasks - planned.length;
-    if (remaining <= 0 || unplaced.count >= maxUnplacedSteps) break;
-    const { spec } = waiting.job;
-    const step = spec.steps[waiting.ready.step];
+    if (remaining <= 0 || pass.endpoints.length === 0) break;
+    const { job, ready } = waiting;
+    const step = job.spec.steps[ready.step];
+    current.stepName = stepName(job.spec.id, ready);
     const { tasks, isIncomplete } = unplaced.covers(step)
       ? emptyStepPlan
       : planStep(pass, waiting, remaining);
-    if (isIncomplete) unplaced.add(spec, step);
     planned.push(...tasks);
+    if (!isIncomplete) continue;
+    unplaced.add(job.spec, step);
+    reservations.add(pass, waiting);
   }
   return planned;
 }
--- a/src/scheduler/unplaced_demands.ts
+++ b/src/scheduler/unplaced_demands.ts
@@ -32,16 +32,9 @@
  */
 export class UnplacedDemands {
   readonly #unplaced: Resources[] = [];
-  #count = 0;
-
-  /** Number of steps of which a task fitted nowhere. */
-  get count(): number {
-    return this.#count;
-  }
 
   /** Records a step of which a task fitted nowhere. */
   add(spec: JobSpec, step: StepSpec): void {
-    this.#count++;
     if (dependsOnResourcesOnly(spec, step) && !this.covers(step)) {
       this.#unplaced.push(reservedResources(step));
     }
--- a/test/scheduler/planner_test.ts
+++ b/test/scheduler/planner_test.ts
@@ -4,8 +4,10 @@
 import { plainStep } from "../../sim/jobs.ts";
 import type { StepSpec } from "../../src/batch/index.ts";
 import {
+  type EndpointPolicy,
   type EndpointSession,
   planStarts,
+  type Run,
   RunTimes,
   type TrackedJob,
 } from "../../src/scheduler/index.ts";
@@ -24,11 +26,13 @@
   sessions: readonly EndpointSession[],
   deferredKeys: readonly string[] = [],
   runTimes = new RunTimes(),
+  policyChanges: Partial<EndpointPolicy> = {},
 ) {
   const policy = {
     isClosed: () => false,
     mayBeMoved: () => false,
     lacksTicket: () => false,
+    ...policyChanges,
   };
   return planStarts(jobs, sessions, policy, {
     now: 0,
@@ -134,6 +138,126 @@
       assert.deepEqual(plan([...higherRanked, small], [free]), []);
     });
 
+    // Guards against LOST: eight steps that could not be placed ended each pass,
+    // whatever kept them from it, and no job of lower rank was ever looked at.
+    describe("behind steps that wait for something else than room", () => {
+      const small = openJob("small", [step(1)]);
+
+      /** Plans `small` behind many jobs of one such step. */
+      function placedBehind(
+        blocked: Partial<StepSpec>,
+        sessions: readonly EndpointSession[],
+        policyChanges: Partial<EndpointPolicy> = {},
+      ) {
+        const count = blocked.count ?? 1;
+        const higherRanked = Array.from(
+          { length: 20 },
+          (_, i) => openJob(`front-${i}`, [step(count, blocked)]),
+        );
+        const planned = plan(
+          [...higherRanked, small],
+          sessions,
+          [],
+          new RunTimes(),
+          policyChanges,
+        );
+        return planned.map((p) => p.job.spec.id);
+      }
+
+      /** A session whose endpoint runs a task of three cores. */
+      function partlyUsed(changes: Partial<Run>): EndpointSession {
+        const session = openSession("a");
+        const demand = { cpuMillis: 3_000, memoryMb: 100, gpus: 0 };
+        session.add(
+          newRun("running", { step: step(1, { demand }), ...changes }),
+        );
+        return session;
+      }
+
+      const largeDemand = { cpuMillis: 3_500, memoryMb: 100, gpus: 0 };
+
+      it("places a task behind a label that no endpoint has", () => {
+        const placed = placedBehind({ label: "none" }, [openSession("a")]);
+        assert.deepEqual(placed, ["small"]);
+      });
+
+      it("places a task behind more than any endpoint offers", () => {
+        const demand = { cpuMillis: 4_001, memoryMb: 100, gpus: 0 };
+        const placed = placedBehind({ demand }, [openSession("a")]);
+        assert.deepEqual(placed, ["small"]);
+      });
+
+      it("places a task behind a gang wider than the pool", () => {
+        const blocked = { gang: true, count: 9 };
+        const sessions = [openSession("a"), openSession("b")];
+        assert.deepEqual(placedBehind(blocked, sessions), ["small"]);
+      });
+
+      it("places a task behind steps that lack a further endpoint", () => {
+        const demand = { cpuMillis: 10, memoryMb: 1, gpus: 0 };
+        const blocked = { count: 2, maxPerEndpoint: 1, demand };
+        const placed = placedBehind(blocked, [openSession("a")]);
+        assert.equal(placed.at(-1), "small");
+        assert.equal(placed.length, 21);
+      });
+
+      it("places a task behind endpoints that may be moved", () => {
+        const blocked = { longRunning: true, maxUnavailable: 1 };
+        const policy = { mayBeMoved: () => true };
+        const placed = placedBehind(blocked, [openSession("a")], policy);
+        assert.deepEqual(placed, ["small"]);
+      });
+
+      it("places a task behind tickets that don't come", () => {
+        const advised = Array.from({ length: 20 }, (_, i) => {
+          const job = openJob(`front-${i}`, [step(1)]);
+          return { ...job, spec: { ...job.spec, advised: true } };
+        });
+        const policy = {
+          lacksTicket: ({ spec }: TrackedJob) => spec.advised,
+        };
+        const planned = plan(
+          [...advised, small],
+          [openSession("a")],
+          [],
+          new RunTimes(),
+          policy,
+        );
+        assert.deepEqual(planned.map((p) => p.job.spec.id), ["small"]);
+      });
+
+      it("places a task behind room that long-running tasks use", () => {
+        const demand = { cpuMillis: 3_000, memoryMb: 100, gpus: 0 };
+        const lasting = step(1, { demand, longRunning: true });
+        const sessions = [partlyUsed({ step: lasting })];
+        const placed = placedBehind({ demand: largeDemand }, sessions);
+        assert.deepEqual(placed, ["small"]);
+      });
+
+      it("places a task behind room that runs have used for long", () => {
+        const sessions = [partlyUsed({ phaseChangedAt: -10_000 })];
+        const placed = placedBehind({ demand: largeDemand }, sessions);
+        assert.deepEqual(placed, ["small"]);
+      });
+
+      it("keeps endpoints for steps that wait for runs to end", () => {
+        const sessions = [partlyUsed({ phaseChangedAt: -9_000 })];
+        const placed = placedBehind({ demand: largeDemand }, sessions);
+        assert.deepEqual(placed, []);
+      });
+
+      it("keeps only the endpoints that such steps wait for", () => {
+        const sessions = [
+          partlyUsed({}),
+          openSession("b", {
+            capacity: { cpuMillis: 1_000, memoryMb: 8_000, gpus: 0 },
+          }),
+        ];
+        const placed = placedBehind({ demand: largeDemand }, sessions);
+        assert.deepEqual(placed, ["small"]);
+      });
+    });
+
     it("estimates the run times of unchanged jobs only once", () => {
       class CountedTimes extends RunTimes {
         calls = 0;
