Remove expired jobs by transactions of one partition each

Callers saw accepted jobs that never start (LOST, the operators' record): 150 s after the end of its first job a pool stood still for good.

Cause: the removal of a final job's rows was part of an owner's transaction, and so had rows of two partitions. The store does not accept that (across = false in all settings), and the owner repeated it with everything else it had to write.

Fix: once the final state is committed, the rows in the inbox are removed by transactions of their own, checked against the version that was read; then the progress. Progress whose job is gone from the inbox is removed by the next owner. A transaction over several partitions fails as invalid and is not sent.

Ruled out: a takeover (term 1 throughout), an inbox that is not read.

A check is replaced: a transaction over several partitions no longer says so to a stand-in that takes it; it must not be sent, as the store takes none.

--- a/sim/model_store.ts
+++ b/sim/model_store.ts
@@ -56,8 +56,10 @@
 ): string | undefined {
   const sizes = puts.map((put) => Buffer.byteLength(put.value));
   const total = sizes.reduce((sum, size) => sum + size, 0);
-  const entries = checks.length + puts.length + removes.length;
-  if (entries > maxEntries) return `${entries} entries`;
+  const keys = [...checks, ...puts, ...removes];
+  if (keys.length > maxEntries) return `${keys.length} entries`;
+  const partitions = new Set(keys.map(({ partition }) => partition));
+  if (partitions.size > 1) return `rows of ${partitions.size} partitions`;
   if (total * 4 / 3 > maxBase64Bytes) return `${total} bytes`;
   const largest = Math.max(0, ...sizes);
   return largest > maxRowBytes ? `a row of ${largest} bytes` : undefined;
--- a/src/scheduler/job_registry.ts
+++ b/src/scheduler/job_registry.ts
@@ -37,6 +37,8 @@
 /** A job of the registry, with its progress and scheduling state. */
 export interface TrackedJob {
   readonly spec: JobSpec;
+  /** Version of its row in the inbox. */
+  readonly inboxVersion: number;
   progress: JobProgress;
   /** Endpoints where a task has failed or stalled, by the task's name. */
   readonly failedEndpoints: Map<string, Set<string>>;
@@ -197,11 +199,22 @@
     return job && encodeProgressRow(job.spec, job.progress, key);
   }
 
-  /** Ids of the jobs that have been final for more than `ageMs`. */
-  expiredJobs(now: number, ageMs: number): readonly string[] {
+  /** The jobs that have been final for more than `ageMs`. */
+  expired(now: number, ageMs: number): readonly TrackedJob[] {
     return [...this.byId.values()]
-      .filter((j) => j.finalSince !== undefined && now - j.finalSince > ageMs)
-      .map((j) => j.spec.id);
+      .filter((j) => j.finalSince !== undefined && now - j.finalSince > ageMs);
+  }
+
+  /**
+   * Notes the progress of jobs that are not in the inbox, which has been read
+   * whole: an earlier owner was removing them.
+   */
+  noteOrphanedProgress(): void {
+    for (const [job, { head, parts }] of this.#storedProgress) {
+      if (head !== undefined) this.#obsolete.push(job);
+      this.#obsolete.push(...parts.map(({ key }) => key));
+    }
+    this.#storedProgress.clear();
   }
 
   /**
@@ -245,6 +258,7 @@
     this.#storedProgress.delete(row.key);
     const job: TrackedJob = {
       spec,
+      inboxVersion: row.version,
       progress: storedProgress ?? initialProgress,
       failedEndpoints: new Map(),
       finalSince: undefined,
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -9,28 +9,21 @@
  */
 import { ActorSystem } from "../actors/index.ts";
 import {
-  cancelKey,
-  inboxKey,
-  inboxTable,
   isFinal,
   placedTasks,
   progressKey,
   readySteps,
 } from "../batch/index.ts";
 import type { CommitFailure } from "../cluster/index.ts";
-import {
-  partitionsOf,
-  type StoreRow,
-  type StoreRowChange,
-  type StoreRowKey,
-  TableWatch,
-} from "../store/index.ts";
+import type { StoreRow, StoreRowChange, StoreRowKey } from "../store/index.ts";
 import { DemandReporter, type PoolEndpoint } from "../capacity/index.ts";
 import { AdvisedSteps } from "./advised_steps.ts";
 import { RunRecorder } from "./run_recorder.ts";
 import { RunSupervisor } from "./run_supervisor.ts";
 import { CommitQueue } from "./commit_queue.ts";
 import { EndpointDriver } from "./endpoint_driver.ts";
+import { InboxFollower } from "./inbox_follower.ts";
+import { JobExpiry } from "./job_expiry.ts";
 import { JobRegistry, type TrackedJob } from "./job_registry.ts";
 import { createLateFilter } from "./late_filter.ts";
 import { toPoolEndpoint } from "./pool_endpoint.ts";
@@ -41,19 +34,6 @@
 import { PassTimer } from "./pass_timer.ts";
 import { RunTimes } from "./run_times.ts";
 
-/**
- * Maximum time that a poll of the inbox waits for a change, in ms. A poll that
- * is waiting when the store drops its history may see no change until its wait
- * is over.
- */
-const inboxWaitMs = 250;
-
-/** Pause after a failed poll, in ms. */
-const inboxRetryPauseMs = 60;
-
-/** Polls of the inbox without an answer after which it is read anew. */
-const maxInboxFeedFailures = 2;
-
 /** Interval of the periodic work, in ms. */
 const tickPeriodMs = 100;
 
@@ -63,9 +43,6 @@
  */
 const maxCommitIntervalMs = 1_500;
 
-/** Time for which a final job can still be queried, in ms. */
-const finalJobRetentionMs = 150_000;
-
 /** Schedules the jobs of one shard while this process owns it. */
 export class ShardOwner {
   /** The jobs of the shard. */
@@ -74,10 +51,11 @@
   readonly commits: CommitQueue;
   /** Sessions and runs at the endpoints of the shard. */
   readonly driver: EndpointDriver;
+  readonly #expiry: JobExpiry;
   readonly #supervisor: RunSupervisor;
   readonly #recorder: RunRecorder;
   readonly #actors: ActorSystem;
-  readonly #inbox: TableWatch;
+  readonly #inbox: InboxFollower;
   #unsubscribe: () => void = () => {};
   readonly #passTimer: PassTimer;
   readonly #demandReporter: DemandReporter;
@@ -88,11 +66,9 @@
   #isStopped = false;
   /** Ids of jobs of which a due occurrence has to wait for others to end. */
   readonly #heldBack = new Set<string>();
-  /** Monotonic time in ms since which polls of the inbox have failed. */
-  #inboxLostAt: number | undefined;
 
   constructor(private readonly deps: ShardDependencies) {
-    const { shard, clock, store, lease } = deps;
+    const { shard, clock, lease } = deps;
     this.#actors = new ActorSystem(clock, deps.onCrash);
     this.#passTimer = new PassTimer(
       clock,
@@ -170,11 +146,16 @@
       putRow: (row) => this.commits.put(row),
       removeRow: (row) => this.commits.remove(row),
     });
-    const partitions = partitionsOf(shard);
-    this.#inbox = new TableWatch(store, inboxTable(shard), partitions, {
+    this.#expiry = new JobExpiry({
+      ...deps,
+      jobs: this.jobs,
+      whenCommitted: (action) => this.commits.whenCommitted(action),
+      removeProgress: (key) => this.commits.remove(progressKey(shard, key)),
+    });
+    this.#inbox = new InboxFollower(deps, {
       reset: (rows) => this.#resetInbox(rows),
       changed: (changes) => this.#applyInbox(changes),
-    }, { maxFeedFailures: maxInboxFeedFailures });
+    });
   }
 
   /**
@@ -203,11 +184,12 @@
     this.jobs.loadStoredProgress(stored.progress);
     this.#demandReporter.withdrawInherited(stored.demand);
     this.#runTimes.load(stored.runTimes);
-    if (!await loader.loadInbox(this.#inbox)) return false;
+    if (!await loader.loadInbox(this.#inbox.watch)) return false;
+    this.jobs.noteOrphanedProgress();
     this.#unsubscribe = registry.onChange(() => this.#refreshEndpoints());
     this.#adoptPlacements();
     this.#refreshEndpoints();
-    this.#actors.loop("inbox", () => this.#pollInbox());
+    this.#actors.loop("inbox", () => this.#inbox.poll());
     this.#actors.loop("care", () => this.#tick());
     return true;
   }
@@ -281,30 +263,6 @@
     this.requestPass();
   }
 
-  /** Polls the inbox once; returns the pause until the next poll, in ms. */
-  async #pollInbox(): Promise<number> {
-    const polled = await this.#inbox.poll(inboxWaitMs);
-    // After dropped history no pause is needed, because the next poll reads the
-    // whole inbox.
-    const isFailed = polled.err && polled.val.kind !== "expired";
-    this.#logInboxState(isFailed ? polled.val.message : undefined);
-    return isFailed ? inboxRetryPauseMs : 0;
-  }
-
-  /** Logs that polls of the inbox begin to fail, or succeed again. */
-  #logInboxState(failure: string | undefined): void {
-    const { clock, log, shard, lease } = this.deps;
-    const { term } = lease;
-    if (failure !== undefined && this.#inboxLostAt === undefined) {
-      this.#inboxLostAt = clock.now();
-      log.decision("inbox-lost", { shard, term, message: failure });
-    } else if (failure === undefined && this.#inboxLostAt !== undefined) {
-      const lostMs = Math.round(clock.now() - this.#inboxLostAt);
-      this.#inboxLostAt = undefined;
-      log.decision("inbox-back", { shard, term, lostMs });
-    }
-  }
-
   /**
    * Does the periodic work: due occurrences, sessions, supervision of runs,
    * expiry of jobs, reports and renewal. Returns the pause until the next time,
@@ -321,7 +279,7 @@
     this.#removeObsoleteRows();
     this.driver.syncWithRegistry();
     this.#supervisor.pass();
-    this.#expireJobs(now);
+    this.#expiry.pass(now);
     for (const row of this.#reports.changedRows(now)) this.commits.put(row);
     this.#demandReporter.report(
       this.#activeJobs(),
@@ -381,22 +339,6 @@
     return new Set(down.map(([id]) => id));
   }
 
-  /**
-   * Removes jobs, and their rows, {@link finalJobRetentionMs} after they are
-   * final.
-   */
-  #expireJobs(now: number): void {
-    const { shard } = this.deps;
-    for (const id of this.jobs.expiredJobs(now, finalJobRetentionMs)) {
-      this.#heldBack.delete(id);
-      this.commits.remove(inboxKey(shard, id));
-      this.commits.remove(cancelKey(shard, id));
-      for (const key of this.jobs.forget(id)) {
-        this.commits.remove(progressKey(shard, key));
-      }
-    }
-  }
-
   #activeJobs(): readonly TrackedJob[] {
     return [...this.jobs.active]
       .map((id) => this.jobs.byId.get(id)).filter((job) => job !== undefined);
--- a/src/store/breaker.ts
+++ b/src/store/breaker.ts
@@ -56,6 +56,11 @@
   readonly message: string;
 }
 
+/** Whether a failure shows that the store serves calls. */
+function isAnswer({ kind }: StoreFailure): boolean {
+  return kind === "expired" || kind === "invalid";
+}
+
 /** Wraps a store and tracks the outcome of its calls. */
 export class StoreBreaker implements Store {
   #failures = 0;
@@ -103,12 +108,12 @@
   }
 
   /**
-   * Records the outcome of a call and returns it. `expired` counts as an answer
-   * of the store.
+   * Records the outcome of a call and returns it. `expired` and `invalid` count
+   * as answers of the store.
    */
   record<T>(outcome: Result<T, StoreFailure>): Result<T, StoreFailure> {
     const silentMs = this.clock.now() - this.#answeredAt;
-    if (outcome.ok || outcome.val.kind === "expired") {
+    if (outcome.ok || isAnswer(outcome.val)) {
       this.#failures = 0;
       this.#answeredAt = this.clock.now();
       this.#reportChange(silentMs, "");
--- a/src/store/store.ts
+++ b/src/store/store.ts
@@ -30,7 +30,10 @@
   readonly version: number;
 }
 
-/** Changes to one partition that are applied atomically if all checks hold. */
+/**
+ * Changes to one partition that are applied atomically if all checks hold. With
+ * rows of several partitions it fails as `invalid`.
+ */
 export interface StoreTransaction {
   readonly checks: readonly RowCheck[];
   readonly puts: readonly RowPut[];
--- a/test/platform/store_partitions_test.ts
+++ b/test/platform/store_partitions_test.ts
@@ -1,4 +1,4 @@
-/** Tests what a transaction over several partitions says to the store. */
+/** Tests that no transaction over several partitions is sent to the store. */
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import { createServer, type Server } from "node:http";
@@ -16,10 +16,10 @@
 }
 
 /** Status of the store's response, by its rule on partitions. */
-function statusOf({ across = false, expected, puts, remove }: Body): number {
+function statusOf({ expected, puts, remove }: Body): number {
   const entries = [...expected, ...puts, ...remove];
   const partitions = new Set(entries.map((e) => e.part));
-  return partitions.size <= 1 || across ? 200 : 400;
+  return partitions.size <= 1 ? 200 : 400;
 }
 
 const owner = { table: "owner", partition: "p", key: "owner" };
@@ -32,7 +32,7 @@
 describe("a transaction of the store", () => {
   let server: Server;
   let client: StoreClient;
-  let bodies: Body[];
+  let bodies: Body[] = [];
   before(async () => {
     server = createServer(async (req, res) => {
       let text = "";
@@ -58,11 +58,15 @@
   };
 
   describe("whose entries are in several partitions", () => {
-    // Guards against jobs that stand still: the store refused the removal of a
-    // final job's rows, and with it all further changes of the shard's owner.
-    it("says so, and is applied", async () => {
-      const tx = { ...ownerEntries, removes: [inbox] };
-      assert.equal(await commit(tx), "committed");
+    // Guards against LOST: the store accepts no such transaction, and its owner
+    // repeated the removal of a final job's rows with all further changes.
+    it("is invalid, and is not sent", async () => {
+      const outcome = await client.commit({
+        ...ownerEntries,
+        removes: [inbox],
+      });
+      assert.equal(outcome.err && outcome.val.kind, "invalid");
+      assert.deepEqual(bodies, []);
     });
   });
 
--- a/test/scheduler/commit_queue_test.ts
+++ b/test/scheduler/commit_queue_test.ts
@@ -115,6 +115,14 @@
       assert.equal(dirty.size, 0);
     });
 
+    it("gives up a row of another partition", async () => {
+      const { queue, model, rejectedKeys, advance } = await setUp(3, 10);
+      queue.remove({ table: "t", partition: "another", key: "gone" });
+      await advance(5_000);
+      assert.deepEqual(rejectedKeys, ["gone"]);
+      assert.equal(model.table("t").length, 3);
+    });
+
     it("gives up a report that the store does not accept", async () => {
       const { queue, model, rejectedKeys, advance } = await setUp(3, 10);
       const report = { table: "t", partition: shard, key: "report" };
