--- a/src/scheduler/driver_dependencies.ts
+++ b/src/scheduler/driver_dependencies.ts
@@ -89,6 +89,8 @@
   whenCommitted(action: () => void): void;
   /** Called when an endpoint has become available for tasks. */
   onCapacityChange(): void;
+  /** Called when the loop of a session has thrown an error. */
+  onCrash(actor: string, err: unknown): void;
   /**
    * Called when an endpoint rejects an order because it has seen a higher
    * fencing token.
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -28,32 +28,15 @@
   type Run,
   type RunPhase,
 } from "./endpoint_session.ts";
+import {
+  EndedIncarnations,
+  maxUnsettledOrderMs,
+} from "./ended_incarnations.ts";
 import { IncarnationCheck } from "./incarnation_check.ts";
 import { type OrphanRun, OrphanRuns } from "./orphan_runs.ts";
 import { RunIndex } from "./run_index.ts";
 import { RunOrders } from "./run_orders.ts";
 
-/**
- * Maximum time for which a run can be in progress at an endpoint because of an
- * order that was in flight when it restarted, in ms: the delivery of the order,
- * and the longest lease that an endpoint grants. The order asks for a lease by
- * the clock of the earlier incarnation, so that only this maximum limits it.
- */
-const maxUnsettledOrderMs = 12_000;
-
-/**
- * Time for which an incarnation that has been replaced gets no new session, in
- * ms. Meanwhile the registration may still name it.
- */
-const reopenPauseMs = 2_000;
-
-/** An incarnation that has been replaced. */
-interface EndedIncarnation {
-  readonly life: number;
-  /** Monotonic time in ms. */
-  readonly endedAt: number;
-}
-
 /** Number of runs whose start order is in flight. */
 function countStarting({ runs }: EndpointSession): number {
   return [...runs.values()].filter((r) => r.phase === "starting").length;
@@ -75,8 +58,7 @@
   /** Time at which all leases of earlier owners have expired. */
   readonly #inheritedLeasesEndBy: number;
   readonly #incarnations: IncarnationCheck;
-  /** Last incarnation that was replaced, by id, until the next session. */
-  readonly #ended = new Map<string, EndedIncarnation>();
+  readonly #ended = new EndedIncarnations();
   #isStopped = false;
 
   constructor(private readonly deps: DriverDependencies) {
@@ -245,16 +227,29 @@
     if (session.closed) return;
     const { id, life } = session.endpoint;
     const endedAt = this.deps.clock.now();
-    this.#ended.set(id, { life, endedAt });
-    const leaseEndsBy = endedAt + maxUnsettledOrderMs;
-    for (const run of [...session.runs.values()]) {
-      if (run.phase === "intended" || run.wasListed) continue;
+    this.#ended.add(id, life, endedAt);
+    const unsettled = [...session.runs.values()].filter((r) => !r.wasListed);
+    this.#keepAsOrphans(session, unsettled, endedAt + maxUnsettledOrderMs);
+    this.endSession(session, "another life");
+  }
+
+  /**
+   * Keeps runs of a session that ends, and may still be in progress until
+   * `leaseEndsBy`, for the next session of the endpoint's id.
+   */
+  #keepAsOrphans(
+    session: EndpointSession,
+    runs: readonly Run[],
+    leaseEndsBy: number,
+  ): void {
+    const { id } = session.endpoint;
+    for (const run of runs) {
+      if (run.phase === "intended") continue;
       session.remove(run);
       this.#runIndex.remove(run);
       const unsettled = { ...run, stoppedAt: undefined };
       this.#orphans.add({ run: unsettled, endpoint: id, leaseEndsBy });
     }
-    this.endSession(session, "another life");
   }
 
   endSession(session: EndpointSession, reason: string): void {
@@ -293,19 +288,13 @@
     const { id, life } = endpoint;
     const existing = this.#sessions.get(id);
     if (existing === undefined) {
-      if (!this.#wasJustReplaced(endpoint)) this.#openSession(endpoint);
+      const isRecent = this.#ended.isRecent(id, life, this.deps.clock.now());
+      if (!isRecent) this.#openSession(endpoint);
     } else if (existing.endpoint.life === life) {
       existing.updateRegistration(endpoint);
     } else this.#checkIncarnation(existing, endpoint);
   }
 
-  /** Whether the registered incarnation was replaced a short time ago. */
-  #wasJustReplaced({ id, life }: TaskEndpoint): boolean {
-    const ended = this.#ended.get(id);
-    return ended?.life === life &&
-      this.deps.clock.now() - ended.endedAt < reopenPauseMs;
-  }
-
   /**
    * Replaces a session if the incarnation that the registration names answers.
    * Until then no task is placed there.
@@ -344,7 +333,23 @@
       this.#addRun(session, run);
     }
     this.#logSession("session-opened", session, { adopted: orphans.length });
-    this.#holds.holdUntilClosed(session);
+    this.#holds.holdUntilClosed(session).catch((err) =>
+      this.#abandonSession(session, err)
+    );
+  }
+
+  /**
+   * Ends a session whose hold loop has thrown an error, so that the others go
+   * on. The incarnation gets another session some time later.
+   */
+  #abandonSession(session: EndpointSession, err: unknown): void {
+    const { id, life } = session.endpoint;
+    this.deps.onCrash(`endpoint ${id}`, err);
+    if (session.closed) return;
+    this.#ended.add(id, life, this.deps.clock.now());
+    const runs = [...session.runs.values()];
+    this.#keepAsOrphans(session, runs, session.leaseEndsBy);
+    this.endSession(session, "error");
   }
 
   /** Logs that the session of an incarnation was opened or ended. */
--- a/test/platform/caller_server_test.ts
+++ b/test/platform/caller_server_test.ts
@@ -24,7 +24,7 @@
     stretch: 2,
   }],
   services: [{ name: "pool-1" }, { name: "rest", standby: true }],
-  limits: { maxBodyBytes: 1_000 },
+  limits: { maxBodyBytes: 200_000 },
 });
 
 const jobId = "00000000000000aa";
@@ -203,6 +203,18 @@
           2022,
           "at most 700",
         ],
+        [
+          "a value that is nested too deeply",
+          `{"spec":${"[".repeat(50_000)}${"]".repeat(50_000)},"phases":[{}]}`,
+          2011,
+          "spec",
+        ],
+        [
+          "more bytes than a row holds",
+          { phases: Array(300).fill({ ...step, image: "i".repeat(200) }) },
+          2022,
+          "bytes",
+        ],
       ] as const;
       for (const [name, input, code, expectedText] of cases) {
         it(`refuses ${name}, explains why, and stores nothing`, async () => {
--- a/test/platform/followed_registrations_test.ts
+++ b/test/platform/followed_registrations_test.ts
@@ -22,23 +22,24 @@
   const store = new ModelStore(clock, () => 1)
     .connect("a", new ProcessClock(clock));
   const registry = new EndpointRegistry();
+  const logged: string[] = [];
   const { watch } = followRegistrations(store, registry, {
-    decision: () => {},
+    decision: (event, { endpoint }) => logged.push(`${event} ${endpoint}`),
   });
-  /** Writes a registration, and lets the registry read it. */
-  const register = async (value: object) => {
-    const put = {
-      table: "servers",
-      partition: "",
-      key: id,
-      value: JSON.stringify(value),
-    };
-    store.commit({ checks: [], puts: [put], removes: [] });
-    await clock.advance(50);
+  /** Lets the registry read the table or its changes. */
+  const poll = async () => {
     watch.poll(0);
     await clock.advance(50);
   };
-  return { registry, register };
+  /** Writes a row, and lets the registry read it. */
+  const write = async (key: string, value: string) => {
+    const put = { table: "servers", partition: "", key, value };
+    store.commit({ checks: [], puts: [put], removes: [] });
+    await clock.advance(50);
+    await poll();
+  };
+  const register = (value: object) => write(id, JSON.stringify(value));
+  return { registry, register, write, poll, watch, logged };
 }
 
 describe("the registrations that an entry follows", () => {
@@ -55,4 +56,33 @@
       assert.equal(registry.get(id)?.life, born);
     });
   });
+
+  describe("when other writers leave rows that can't be read", () => {
+    const oddRows: Readonly<Record<string, string>> = {
+      "nested": "[".repeat(30_000) + "]".repeat(30_000),
+      "too-large": JSON.stringify({
+        ...goodRow,
+        capacity: { cpu: 1e300, memMb: 1 },
+      }),
+      "no-port": JSON.stringify({ ...goodRow, addr: "10.1.2.3:70000" }),
+      "no-ip": JSON.stringify({ ...goodRow, addr: "10.1.2.300:8080" }),
+      "bytes": "\u0000\ufffd{",
+    };
+
+    // Guards against LOST: one row that ends the process or stops the table from
+    // being followed.
+    it("follow the others, and log each of them once", async () => {
+      const { registry, register, write, poll, watch, logged } = setUp();
+      for (const [key, value] of Object.entries(oddRows)) {
+        await write(key, value);
+      }
+      await register(goodRow);
+      watch.stopFollowing();
+      await poll();
+      assert.deepEqual(registry.inPool("p").map((e) => e.id), [id]);
+      const expected = Object.keys(oddRows)
+        .map((key) => `registration-unreadable ${key}`);
+      assert.deepEqual([...logged].sort(), expected.sort());
+    });
+  });
 });
--- a/test/platform/registration_test.ts
+++ b/test/platform/registration_test.ts
@@ -3,6 +3,7 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import { decodeRegistration } from "../../platform/decode.ts";
+import { JsonClient } from "../../platform/json_client.ts";
 
 const born = 1_764_900_000_123;
 
@@ -35,6 +36,41 @@
 const noAddress = fc.constantFrom(
   ...["", "10.0.0.1", "10.0.0.1:", ":7001", "10.0.0.1:0", "10.0.0.1:70000"],
   ...["10.0.0.1:port", "a b:7001", "http://10.0.0.1:7001", 7_001, null, {}],
+  ...["10.1.2.300:8080", "10.0.0.1.9:80", "1e9:80", "a%zz:80", "[::1:80"],
+  ...["a<b>:7001", "a^b:7001", "[fe80::1%1]:80", "a?b:80", "a#b:80"],
+);
+
+/** Amounts that no endpoint has. */
+const tooMuch = fc.constantFrom(1e10, 1e300, Number.MAX_VALUE);
+
+/** Ids that no order can name or no row can hold. */
+const noId = fc.constantFrom(
+  ...["", "a b", "a\r\nb", "\u0000", "i-\u00e9", 'i-"', "i-\\"],
+  "i".repeat(201),
+);
+
+/** Any value as it may stand in a row, with fields of a registration. */
+const anyRow = fc.oneof(
+  fc.string(),
+  fc.json({ maxDepth: 4 }),
+  fc.nat(20_000).map((depth) => "[".repeat(depth) + "]".repeat(depth)),
+  fc.nat(20_000).map((depth) =>
+    `{"labels":${"[".repeat(depth)}${"]".repeat(depth)}}`
+  ),
+  fc.record({
+    addr: fc.oneof(
+      fc.string(),
+      fc.webAuthority(),
+      fc.tuple(fc.array(fc.integer(), { maxLength: 5 }), fc.integer())
+        .map(([numbers, port]) => `${numbers.join(".")}:${port}`),
+    ),
+    capacity: fc.record({
+      cpu: fc.oneof(fc.double(), fc.nat()),
+      memMb: fc.oneof(fc.double(), fc.nat()),
+    }),
+    labels: fc.array(fc.string()),
+    machine: fc.string(),
+  }).map((changes) => JSON.stringify({ ...row, ...changes })),
 );
 
 const noText = fc.constantFrom("", 5, null, true, [], {});
@@ -50,7 +86,10 @@
     ...row,
     state,
   })),
-  fc.tuple(fc.constantFrom("cpu", "memMb", "gpu"), noCount)
+  fc.tuple(
+    fc.constantFrom("cpu", "memMb", "gpu"),
+    fc.oneof(noCount, tooMuch),
+  )
     .map(([field, value]) => ({
       ...row,
       capacity: { ...row.capacity, [field]: value },
@@ -80,9 +119,29 @@
       }));
     });
 
-    // Guards against an endpoint to which no order can be tied.
-    it("names no endpoint if its id is empty", () => {
-      assert.equal(decodeRegistration("", JSON.stringify(row)), undefined);
+    // Guards against an endpoint to which no order can be tied, and against LOST
+    // by a row that its id makes too large.
+    it("names no endpoint if its id can't be", () => {
+      fc.assert(fc.property(noId, (id) => {
+        assert.equal(decodeRegistration(id, JSON.stringify(row)), undefined);
+      }));
+    });
+
+    // Guards against processes that end by themselves: the address of a row
+    // passed the check, and the client that was opened for it threw an error.
+    it("names no endpoint for which no client can be opened", () => {
+      fc.assert(
+        fc.property(anyRow, (value) => {
+          const endpoint = decodeRegistration("i-1", value);
+          if (endpoint === undefined) return;
+          new JsonClient(endpoint.address, 1).close();
+          const { cpuMillis, memoryMb, gpus } = endpoint.capacity;
+          assert.ok(
+            Number.isSafeInteger(Math.ceil(cpuMillis + memoryMb + gpus)),
+          );
+        }),
+        { numRuns: 2_000 },
+      );
     });
   });
 });
--- a/test/scheduler/shard_owner_test.ts
+++ b/test/scheduler/shard_owner_test.ts
@@ -153,6 +153,67 @@
   });
 });
 
+describe("ShardOwner with an endpoint whose calls throw", () => {
+  // Guards against processes that end by themselves: an error in the loop of one
+  // endpoint was not caught anywhere.
+  it("goes on with the others, and reports the error", async () => {
+    const clock = new VirtualClock();
+    const model = new ModelStore(clock, () => 1);
+    const store = model.connect("a", new ProcessClock(clock));
+    const job = makeJob(1, "single", shard, 0);
+    model.write(inboxKey(shard, job.id), JSON.stringify(job));
+    const lease = await advanceUntil(
+      clock,
+      acquireLease(store, clock, shard, "a"),
+    );
+    const registry = new EndpointRegistry();
+    registry.reset(["bad", "good"].map((id) => endpoint(id, { pool: shard })));
+    const started: string[] = [];
+    const crashed: string[] = [];
+    const done = { kind: "done", clockMs: 0 } as const;
+    const owner = new ShardOwner({
+      shard,
+      lease,
+      previous: "ended",
+      store,
+      orders: {
+        start: ({ id }) => {
+          started.push(id);
+          return Promise.resolve(done);
+        },
+        stop: () => Promise.resolve(done),
+        pace: () => Promise.resolve(done),
+        hold: async ({ id }) => {
+          if (id === "bad") throw new Error("broken");
+          await new Promise<void>((settled) => clock.after(100, settled));
+          const lists = {
+            clockMs: clock.now(),
+            life: 7,
+            running: [],
+            ended: [],
+            hasMoreEnds: false,
+          };
+          return { kind: "lists", lists };
+        },
+        endIncarnation: () => {},
+      },
+      advisor: { advise: () => Promise.reject(new Error("not used")) },
+      registry,
+      clock,
+      log: { decision: () => {} },
+      vacating: () => new Map(),
+      refreshVacating: () => Promise.resolve(true),
+      onCrash: (actor) => crashed.push(actor),
+      onLost: () => assert.fail("lost"),
+    });
+    assert.equal(await advanceUntil(clock, owner.start()), true);
+    await advanceUntil(clock, delay(clock, 1_000));
+    assert.deepEqual([...new Set(started)], ["good"]);
+    assert.deepEqual(crashed, ["endpoint bad"]);
+    owner.stop();
+  });
+});
+
 /** Advances the clock until a promise settles, for 30 s at most. */
 async function advanceUntil<T>(
   clock: VirtualClock,
