Look at the age of the fleet's lease when an order about a host leaves

Cause: after the renewal before an order only its success was looked at, not its age, which is that of the freeze.

Fix: an order leaves only if the lease is younger than a member's lease less the delivery of an order.

Evidence: a test with a process that is suspended during the renewal sends the order before and none now; a second one shows that it is sent without the pause. Ruled out: an order that waits for a connection (the test's does not).

--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -26,11 +26,8 @@
   parseJson,
   type Store,
 } from "../store/index.ts";
-import type {
-  HostControl,
-  HostOrderOutcome,
-  OrderSender,
-} from "./host_control.ts";
+import type { HostControl } from "./host_control.ts";
+import { HostOrders } from "./host_orders.ts";
 import { sendInBatches } from "./order_batches.ts";
 import {
   decodeVacate,
@@ -55,13 +52,6 @@
  */
 const renewAfterMs = 1_000;
 
-/**
- * Age of the last commit, in ms, above which the lease is renewed before an
- * order is sent, so that an owner that was paused sends none alongside its
- * successor.
- */
-const maxLeaseAgeMs = 1_000;
-
 /**
  * Age of the pools' offers, in ms, above which no host is moved. It is less
  * than the time for which an endpoint is kept empty after its offer is
@@ -69,16 +59,6 @@
  */
 const maxOfferAgeMs = 350;
 
-/**
- * Delay of the first order after a takeover, in ms, which lets orders of the
- * previous owner that are in flight arrive. A silent owner has not committed
- * for a full member lease, so it sends no new ones.
- */
-const takeoverDelayMs: Readonly<Record<PreviousOwner, number>> = {
-  ended: 300,
-  silent: 600,
-};
-
 /**
  * Time for which the endpoint of a host that is up may be unregistered before
  * it counts as unreachable, in ms. It covers the endpoint's start, the poll of
@@ -109,7 +89,7 @@
 /** Runs maintenance waves and moves hosts between pools. */
 export class FleetOwner {
   /** Monotonic time before which no order is sent. */
-  readonly #firstOrderAt: number;
+  readonly #orders: HostOrders;
   readonly #vacates = new VacateTracker();
   readonly #waveRunner: WaveRunner;
   /** Monotonic time since which an endpoint has been offered. */
@@ -120,11 +100,9 @@
   readonly #backoffUntil = new Map<string, number>();
   #isLoaded = false;
   #isStopped = false;
-  /** Renewal of the lease that is in progress. */
-  #renewal: Promise<boolean> | undefined;
 
   constructor(private readonly deps: FleetDependencies) {
-    this.#firstOrderAt = deps.clock.now() + takeoverDelayMs[deps.previous];
+    this.#orders = new HostOrders({ ...deps, mayAct: () => !this.#mayNotAct });
     this.#waveRunner = new WaveRunner({ ...deps, vacates: this.#vacates });
   }
 
@@ -225,7 +203,7 @@
         wave,
         listing,
         vacated,
-        (host, id) => this.#beginMaintenance(host, id),
+        (host, id) => this.#orders.maintain(host, id),
       );
     }
   }
@@ -307,29 +285,11 @@
     return demands;
   }
 
-  /** Takes a host down for its maintenance. */
-  async #beginMaintenance(
-    host: ProviderHost,
-    wave: string,
-  ): Promise<HostOrderOutcome | undefined> {
-    const outcome = await this.#sendOrder((sender) =>
-      this.deps.control.maintain(host.host, wave, sender)
-    );
-    this.#logOrder("host-maintenance", host.host, outcome, { wave });
-    return outcome;
-  }
-
   /** Moves a host; false if no further moves should be ordered for now. */
-  async #move(
-    { host, endpoint, from, to }: HostMove,
-    maySend: () => boolean,
-  ): Promise<boolean> {
-    const { control, clock } = this.deps;
-    const outcome = await this.#sendOrder(
-      (sender) => control.move(host, to, sender),
-      maySend,
-    );
-    this.#logOrder("host-move", host, outcome, { from, to });
+  async #move(move: HostMove, maySend: () => boolean): Promise<boolean> {
+    const { host, endpoint } = move;
+    const { clock } = this.deps;
+    const outcome = await this.#orders.move(move, maySend);
     if (outcome === undefined) return false;
     if (outcome.kind === "done") {
       this.#vacates.markDown(endpoint, clock.wall());
@@ -339,52 +299,6 @@
     return outcome.kind === "done" || outcome.kind === "rejected";
   }
 
-  /**
-   * Sends an order if the lease is fresh and `maySend` still holds after a
-   * possible renewal. Returns undefined if the order was not sent.
-   */
-  async #sendOrder(
-    send: (sender: OrderSender) => Promise<HostOrderOutcome>,
-    maySend: () => boolean = () => true,
-  ): Promise<HostOrderOutcome | undefined> {
-    const { clock, lease, entry } = this.deps;
-    if (this.#mayNotAct || clock.now() < this.#firstOrderAt) return undefined;
-    if (!await this.#ensureFreshLease()) return undefined;
-    // The lease may have been released or lost during the renewal.
-    if (this.#mayNotAct || !maySend()) return undefined;
-    return await send({ entry, term: lease.term });
-  }
-
-  /**
-   * Renews the lease if it is old; concurrent orders share one renewal. Returns
-   * false if the renewal fails.
-   */
-  async #ensureFreshLease(): Promise<boolean> {
-    const { lease } = this.deps;
-    if (lease.ageMs <= maxLeaseAgeMs) return true;
-    this.#renewal ??= lease.commit([], []).then((renewed) => {
-      this.#renewal = undefined;
-      return renewed.ok;
-    });
-    return await this.#renewal;
-  }
-
-  /** Logs the outcome of an order that was sent. */
-  #logOrder(
-    event: string,
-    host: string,
-    outcome: HostOrderOutcome | undefined,
-    fields: Readonly<Record<string, string>>,
-  ): void {
-    if (outcome === undefined) return;
-    const { log, lease } = this.deps;
-    const { kind } = outcome;
-    const reason = kind === "rejected" ? outcome.reason : undefined;
-    const message = kind === "unknown" ? outcome.message : reason;
-    const { term } = lease;
-    log.decision(event, { ...fields, host, term, outcome: kind, message });
-  }
-
   /** Stores changed progress and vacate rows, and renews the lease if due. */
   async #commitChanges(hosts: readonly ProviderHost[]): Promise<void> {
     const { lease, clock, log } = this.deps;
--- a/test/upkeep/fleet_owner_test.ts
+++ b/test/upkeep/fleet_owner_test.ts
@@ -11,6 +11,7 @@
   FleetOwner,
   fleetShard,
   type HostControl,
+  type RequestedWave,
 } from "../../src/upkeep/index.ts";
 import { acquireLease } from "../cluster/acquire_lease.ts";
 
@@ -23,7 +24,7 @@
 /** Factor on the store's delays: reads take 160 ms, commits 360 ms. */
 const slowStoreFactor = 40;
 
-async function setUp() {
+async function setUp(waves: readonly RequestedWave[] = []) {
   const clock = new VirtualClock();
   const process = new ProcessClock(clock);
   const model = new ModelStore(clock, () => 1);
@@ -43,9 +44,13 @@
       { host: `h${i}`, pool: "spare", state: "up", zone: "z", endpoint: "" },
     ]),
   );
+  const maintained: string[] = [];
   const control: HostControl = {
     list: () => Promise.resolve(Ok([...hosts.values()])),
-    maintain: () => Promise.resolve({ kind: "throttled" }),
+    maintain: (host) => {
+      maintained.push(host);
+      return Promise.resolve({ kind: "done" });
+    },
     move: (host, pool) =>
       new Promise((resolve) => {
         clock.after(orderMs, () => {
@@ -72,7 +77,10 @@
     lease,
     store,
     control,
-    requestedWaves: { waves: () => [], publish: () => Promise.resolve(true) },
+    requestedWaves: {
+      waves: () => waves,
+      publish: () => Promise.resolve(true),
+    },
     catalog,
     registry: new EndpointRegistry(),
     clock,
@@ -85,7 +93,7 @@
   await advance(400);
   const moved = () =>
     [...hosts.values()].filter((h) => h.pool === "quotes").length;
-  return { owner, lease, model, advance, moved };
+  return { owner, process, lease, model, advance, moved, maintained };
 }
 
 describe("the fleet's owner", () => {
@@ -132,4 +140,31 @@
       assert.ok(moved() > 0);
     });
   });
+
+  describe("when its process is suspended during the renewal of its lease", () => {
+    const wave = { id: "w", hosts: ["h1"], durationMs: 60_000, maxParallel: 1 };
+
+    // Guards against ONE: the process went on with an order of its term after
+    // another entry had taken over and sent the same one.
+    it("sends no order that waited for the renewal", async () => {
+      const { owner, process, advance, maintained } = await setUp([wave]);
+      await advance(1_500);
+      owner.reconcile();
+      await advance(8);
+      assert.deepEqual(maintained, []);
+      process.pause();
+      await advance(4_000);
+      process.resume();
+      await advance(100);
+      assert.deepEqual(maintained, []);
+    });
+
+    it("sends it without such a pause", async () => {
+      const { owner, advance, maintained } = await setUp([wave]);
+      await advance(1_500);
+      owner.reconcile();
+      await advance(100);
+      assert.deepEqual(maintained, ["h1"]);
+    });
+  });
 });
