--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -147,6 +147,32 @@
   return Math.max(...tasks.map((task) => task.lastRun)) + 1;
 }
 
+/** The value that occurs most often; the first of several, "" for none. */
+function mostFrequent(values: readonly string[]): string {
+  const counts = new Map<string, number>();
+  for (const value of values) counts.set(value, (counts.get(value) ?? 0) + 1);
+  let most = "";
+  for (const [value, count] of counts) {
+    if (count > (counts.get(most) ?? 0)) most = value;
+  }
+  return most;
+}
+
+/**
+ * Checkpoint that a task's next run starts with; empty for none. All members of
+ * a gang start with the same one, which may be that of any member.
+ */
+export function startCheckpoint(
+  p: JobProgress,
+  spec: JobSpec,
+  ref: TaskRef,
+): string {
+  const tasks = p.open.get(ref.occurrence)?.[ref.step] ?? [];
+  if (!spec.steps[ref.step].gang) return tasks[ref.index]?.checkpoint ?? "";
+  const saved = tasks.map((task) => task.checkpoint);
+  return mostFrequent(saved.filter((checkpoint) => checkpoint !== ""));
+}
+
 /**
  * Records the intent to start a run. Throws if the task is done or already
  * placed.
--- a/src/scheduler/placer.ts
+++ b/src/scheduler/placer.ts
@@ -6,8 +6,8 @@
 import {
   nextRunNumber,
   placeTask,
+  startCheckpoint,
   type StepRef,
-  taskAt,
   taskName,
   type TaskRef,
 } from "../batch/index.ts";
@@ -94,7 +94,7 @@
     const placement = { run, endpoint: id, life };
     const progress = placeTask(job.progress, ref, placement);
     jobs.update(job, progress, clock.now());
-    const checkpoint = taskAt(progress, ref)?.checkpoint ?? "";
+    const checkpoint = startCheckpoint(progress, job.spec, ref);
     const ticket = advisedSteps.ticketFor(job, ref, id) ?? "";
     this.#logPlacement(job, ref, id, run);
     const startOptions = { checkpoint, ticket };
--- a/test/batch/progress_test.ts
+++ b/test/batch/progress_test.ts
@@ -16,6 +16,7 @@
   recordRunEnd,
   type RunEnd,
   startableTasks,
+  startCheckpoint,
   taskAt,
 } from "../../src/batch/index.ts";
 import { makeJob, plainStep } from "../../sim/jobs.ts";
@@ -114,6 +115,60 @@
     });
   });
 
+  describe("of a gang with checkpoints", () => {
+    const gang: JobSpec = {
+      ...chain,
+      steps: [{ ...plainStep(4, []), gang: true, checkpoints: true }],
+    };
+
+    /** Progress after a run in which each member has saved a checkpoint. */
+    function endedWith(checkpoints: readonly string[]): JobProgress {
+      let p = openFirst(gang);
+      for (const ref of startableTasks(p, gang)) {
+        p = placeTask(p, ref, { run: 1, endpoint: "e", life: 1 });
+      }
+      for (const [index, checkpoint] of checkpoints.entries()) {
+        const ref = { ...firstTask, index };
+        p = recordRunEnd(p, gang, ref, 1, "broken", checkpoint);
+      }
+      return p;
+    }
+
+    /** Checkpoints that the members of the next run start with. */
+    function startedWith(p: JobProgress): readonly string[] {
+      const refs = startableTasks(p, gang);
+      return refs.map((ref) => startCheckpoint(p, gang, ref));
+    }
+
+    // Guards against GANG: members that were lost at different times carried
+    // different checkpoints, and the gang never worked again.
+    it("starts all members with the checkpoint that most of them have", () => {
+      const p = endedWith(["old", "new", "", "new"]);
+      assert.deepEqual(startedWith(p), Array(4).fill("new"));
+    });
+
+    it("starts all members with one of several checkpoints", () => {
+      const p = endedWith(["", "a", "b", ""]);
+      assert.deepEqual(startedWith(p), Array(4).fill("a"));
+    });
+
+    it("keeps the choice while the members are placed", () => {
+      let p = endedWith(["old", "new", "", "new"]);
+      for (const ref of startableTasks(p, gang)) {
+        assert.equal(startCheckpoint(p, gang, ref), "new");
+        p = placeTask(p, ref, { run: 2, endpoint: "e", life: 1 });
+      }
+    });
+
+    it("starts tasks that are no gang with their own checkpoints", () => {
+      const single = { ...gang, steps: [{ ...gang.steps[0], gang: false }] };
+      const p = endedWith(["old", "new", "", "new"]);
+      const started = [0, 1, 2, 3]
+        .map((index) => startCheckpoint(p, single, { ...firstTask, index }));
+      assert.deepEqual(started, ["old", "new", "", "new"]);
+    });
+  });
+
   describe("of a long-running task", () => {
     const longRunning = makeJob(2, "lasting", "quotes", 0);
 
