Ask for the tickets of waiting steps in turn

Cause: each pass asked the advice service about the first step that lacks a ticket. A step that waits for something else lets its tickets expire and is asked about again and again; the steps behind it never are.

Fix: steps are asked about by the time of their last request, new ones first.

Evidence: a test with two steps whose tickets expire; without the order the second is never asked about.

--- a/src/scheduler/advised_steps.ts
+++ b/src/scheduler/advised_steps.ts
@@ -59,7 +59,7 @@
     if (steps.size === 0) return;
     const open = sessions.filter((s) => s.isOpen).map((s) => s.endpoint.id);
     const usable = open.filter((id) => !isClosed(id));
-    for (const step of steps) {
+    for (const step of this.#tickets.byLastRequest(steps)) {
       this.#tickets.requestTickets(step, open);
       if (this.#tickets.allowsNone(step, usable)) {
         this.#requiredHosts = usable.length + 1;
--- a/src/scheduler/ticket_cache.ts
+++ b/src/scheduler/ticket_cache.ts
@@ -45,6 +45,8 @@
 export class TicketCache {
   /** Answers by step and endpoint. */
   readonly #adviceByStep = new Map<string, Map<string, EndpointAdvice>>();
+  /** Monotonic time in ms of the last request for each step. */
+  readonly #requestedAt = new Map<string, number>();
   #isRequesting = false;
   /** Monotonic time in ms until which no request is sent, after a failure. */
   #noRequestUntil = 0;
@@ -80,6 +82,23 @@
     for (const step of this.#adviceByStep.keys()) {
       if (!steps.has(step)) this.#adviceByStep.delete(step);
     }
+    for (const step of this.#requestedAt.keys()) {
+      if (!steps.has(step)) this.#requestedAt.delete(step);
+    }
+  }
+
+  /**
+   * Orders steps by their last request, those without one first. So a step that
+   * waits for long, whose tickets expire, keeps no other from its requests.
+   */
+  byLastRequest(steps: Iterable<string>): readonly string[] {
+    const requestedAt = (step: string) =>
+      this.#requestedAt.get(step) ?? -Infinity;
+    const compare = (a: string, b: string) =>
+      requestedAt(a) < requestedAt(b) ? -1 : 1;
+    return [...steps].sort((a, b) =>
+      requestedAt(a) === requestedAt(b) ? 0 : compare(a, b)
+    );
   }
 
   /**
@@ -97,6 +116,7 @@
     if (asked.length === 0) return;
     this.#isRequesting = true;
     const sentAt = clock.now();
+    this.#requestedAt.set(step, sentAt);
     const answer = await advisor.advise(step, asked);
     this.#isRequesting = false;
     if (answer.err) {
--- a/test/scheduler/ticket_cache_test.ts
+++ b/test/scheduler/ticket_cache_test.ts
@@ -13,19 +13,21 @@
 function setUp(answer: (asked: readonly string[]) => Result<Advice, string>) {
   const clock = new VirtualClock();
   const asked: (readonly string[])[] = [];
+  const askedSteps: string[] = [];
   const cache = new TicketCache({
     shard: "s",
     clock,
     log: { decision: () => {} },
     onChange: () => {},
     advisor: {
-      advise: (_, endpoints) => {
+      advise: (askedStep, endpoints) => {
         asked.push(endpoints);
+        askedSteps.push(askedStep);
         return Promise.resolve(answer(endpoints));
       },
     },
   });
-  return { clock, cache, asked };
+  return { clock, cache, asked, askedSteps };
 }
 
 function allowOnly(id: string) {
@@ -62,6 +64,21 @@
     assert.deepEqual(asked.map((a) => a.length), [30, 30, 10]);
   });
 
+  // Guards against LOST: a step that waits for long, and whose tickets expire,
+  // was asked about in every pass, and a step behind it never.
+  it("asks about each step in turn while tickets expire", async () => {
+    const { clock, cache, askedSteps } = setUp(() =>
+      Ok({ tickets: new Map([["a", "t"]]), validMs: 160 })
+    );
+    for (let pass = 0; pass < 4; pass++) {
+      for (const each of cache.byLastRequest(["first", "second"])) {
+        cache.requestTickets(each, ["a"]);
+      }
+      await clock.advance(100);
+    }
+    assert.deepEqual(askedSteps, ["first", "second", "first", "second"]);
+  });
+
   it("waits before it asks again when the service has refused", async () => {
     const { clock, cache, asked } = setUp(() => Err("status 429"));
     await cache.requestTickets(step, ["a"]);
