--- a/sim/model_store.ts
+++ b/sim/model_store.ts
@@ -28,6 +28,9 @@
 /** Timeout of a call, in ms. */
 const callTimeoutMs = 1_800;
 
+/** Time for which the store keeps the history of changes, in ms. */
+const historyMs = 20_000;
+
 /** Longest delay until an unanswered commit takes effect, in ms. */
 const maxLateDelayMs = 5_000;
 
@@ -65,11 +68,18 @@
   return largest > maxRowBytes ? `a row of ${largest} bytes` : undefined;
 }
 
+/** A change in the history. */
+interface StoredChange {
+  readonly version: number;
+  /** Time of the change, in ms. */
+  readonly at: number;
+  readonly change: StoreRowChange;
+}
+
 /** The store that all processes share. */
 export class ModelStore {
   readonly #rows = new Map<string, StoreRow>();
-  #history: { readonly version: number; readonly change: StoreRowChange }[] =
-    [];
+  #history: StoredChange[] = [];
   #version = 0;
   /** Version up to which the history was dropped. */
   #compactedVersion = 0;
@@ -194,15 +204,17 @@
       return { kind: "conflict", rows };
     }
     const version = ++this.#version;
+    const at = this.clock.now();
+    this.#dropOldHistory(at);
     for (const put of tx.puts) {
       const row = { ...put, version };
       this.#rows.set(rowAddress(row), row);
       this.#putCounts.set(put.table, this.putCount(put.table) + 1);
-      this.#history.push({ version, change: { kind: "put", row } });
+      this.#history.push({ version, at, change: { kind: "put", row } });
     }
     for (const row of tx.removes) {
       if (!this.#rows.delete(rowAddress(row))) continue;
-      this.#history.push({ version, change: { kind: "removed", row } });
+      this.#history.push({ version, at, change: { kind: "removed", row } });
     }
     const wakeCallbacks = [...this.#pendingFeeds];
     this.#pendingFeeds.clear();
@@ -210,6 +222,13 @@
     return { kind: "committed", version };
   }
 
+  #dropOldHistory(now: number): void {
+    const kept = this.#history.findIndex(({ at }) => now - at <= historyMs);
+    if (kept <= 0) return;
+    this.#compactedVersion = this.#history[kept - 1].version;
+    this.#history = this.#history.slice(kept);
+  }
+
   #range(query: RangeQuery): Promise<Result<RangeResult, StoreFailure>> {
     const rows = [...this.#rows.values()]
       .filter((row) =>
