Give a row up only if the store accepts a transaction without it

Found when the change was read again, not reported: a store that answers every transaction as invalid for a while (keys taken away, a wrong intermediary) would have had every job given up, one after another.

Fix: a row is given up after three such answers in a row to a batch that holds nothing else, and only if a transaction without it is accepted.

Evidence: a test with a store that rejects everything for 5 s fails before (rows given up), as does no other; one with a single wrong answer passes now.

--- a/sim/model_store.ts
+++ b/sim/model_store.ts
@@ -45,9 +45,9 @@
 
 /**
  * How the store treats the calls of a process: it `serves` them, `refuses`
- * them with an error, or stays `silent` until they time out.
+ * them for now, `rejects` them as invalid, or stays `silent` until they time out.
  */
-export type StoreBehavior = "serves" | "refuses" | "silent";
+export type StoreBehavior = "serves" | "refuses" | "rejects" | "silent";
 
 function rowAddress({ table, partition, key }: StoreRowKey): string {
   return `${table}\n${partition}\n${key}`;
@@ -162,6 +162,9 @@
     if (behavior === "refuses") {
       return Err({ kind: "refused", message: "status 503" });
     }
+    if (behavior === "rejects") {
+      return Err({ kind: "invalid", message: "status 403" });
+    }
     if (behavior === "silent") {
       await this.#wait(callTimeoutMs);
       return Err({ kind: "unknown", message: "no answer" });
--- a/src/scheduler/commit_queue.ts
+++ b/src/scheduler/commit_queue.ts
@@ -31,6 +31,12 @@
 /** Pause after a failed transaction, in ms. */
 const failurePauseMs = 100;
 
+/**
+ * Number of invalid batches in a row with a single row after which this row is
+ * given up. An intermediary may answer a call wrongly.
+ */
+const minSoleRejections = 3;
+
 /** Maximum number of rows of a batch; the lease uses the other entries. */
 const maxRowsPerBatch = maxTransactionEntries - leaseTransactionEntries;
 
@@ -102,7 +108,8 @@
  * later, however long the backlog is.
  *
  * A batch that the store does not accept is halved until the row at fault is
- * alone. That row is given up, so that it does not keep the others back.
+ * alone. That row is given up, so that it does not keep the others back, if the
+ * store accepts a transaction without it.
  */
 export class CommitQueue {
   #pending: PendingAction[] = [];
@@ -112,6 +119,8 @@
   #removes = new Map<string, StoreRowKey>();
   /** Maximum rows of the next batch; lowered to find a row that is at fault. */
   #maxRows = maxRowsPerBatch;
+  /** Number of invalid batches in a row that had one row. */
+  #soleRejections = 0;
   #isRunning = false;
   #isStopped = false;
   /** Settles when the commit loop that was started last has ended. */
@@ -202,11 +211,12 @@
       addInFront(dirty, keys);
       this.#pending = [...pending, ...this.#pending];
       this.listener.onFailure(outcome.val);
-      if (outcome.val.kind === "invalid") this.#isolate(batch);
+      if (outcome.val.kind === "invalid") await this.#isolate(batch);
       for (const each of this.#pending) each.rowsLeft = dirty.size;
       return undefined;
     }
     this.#maxRows = Math.min(maxRowsPerBatch, 2 * this.#maxRows);
+    this.#soleRejections = 0;
     this.#removeCommitted(extraPuts, removes);
     for (const each of pending) each.rowsLeft -= keys.length;
     const stillPending = pending.filter((each) => each.rowsLeft > 0);
@@ -215,17 +225,29 @@
     return puts.length;
   }
 
-  /** Halves the next batch, or gives up the only row of one that was invalid. */
-  #isolate(batch: Batch): void {
+  /**
+   * Halves the next batch after one that was invalid. Gives a row up that has
+   * been the only one of several such batches, unless the store does not accept
+   * a transaction without it either: then the row is not at fault.
+   */
+  async #isolate(batch: Batch): Promise<void> {
     const count = rowCount(batch);
     this.#maxRows = Math.max(1, Math.floor(count / 2));
-    if (count !== 1) return;
-    const { keys, puts, extraPuts, removes } = batch;
+    this.#soleRejections = count === 1 ? this.#soleRejections + 1 : 0;
+    if (this.#soleRejections < minSoleRejections) return;
+    const withoutRow = await this.lease.commit([], []);
+    if (withoutRow.ok) this.#giveUp(batch);
+  }
+
+  /** Gives up the rows of a batch. */
+  #giveUp({ keys, puts, extraPuts, removes }: Batch): void {
+    this.#soleRejections = 0;
     this.#removeCommitted(extraPuts, removes);
     for (const key of keys) this.source.dirty.delete(key);
     for (const row of [...puts, ...extraPuts]) {
       const { table, partition, key, value } = row;
-      this.listener.onRowRejected({ table, partition, key }, sizeOf({ value }));
+      const bytes = sizeOf({ value });
+      this.listener.onRowRejected({ table, partition, key }, bytes);
     }
     for (const row of removes) this.listener.onRowRejected(row, 0);
   }
--- a/test/scheduler/commit_queue_test.ts
+++ b/test/scheduler/commit_queue_test.ts
@@ -115,6 +115,31 @@
       assert.equal(dirty.size, 0);
     });
 
+    // Guards against LOST: a store that accepts nothing for a while would have had
+    // every job given up.
+    it("gives up no row while the store accepts none", async () => {
+      const { queue, model, rejectedKeys, advance } = await setUp(20, 10);
+      model.setBehavior("a", "rejects");
+      queue.flush();
+      await advance(5_000);
+      assert.deepEqual(rejectedKeys, []);
+      model.setBehavior("a", "serves");
+      await advance(2_000);
+      assert.equal(model.table("t").length, 20);
+    });
+
+    // Guards against LOST: an intermediary that answers once for the store.
+    it("gives up no row for a single answer", async () => {
+      const { queue, model, rejectedKeys, advance } = await setUp(1, 10);
+      model.setBehavior("a", "rejects");
+      queue.flush();
+      await advance(50);
+      model.setBehavior("a", "serves");
+      await advance(2_000);
+      assert.deepEqual(rejectedKeys, []);
+      assert.equal(model.table("t").length, 1);
+    });
+
     it("gives up a row of another partition", async () => {
       const { queue, model, rejectedKeys, advance } = await setUp(3, 10);
       queue.remove({ table: "t", partition: "another", key: "gone" });
