--- a/src/scheduler/job_registry.ts
+++ b/src/scheduler/job_registry.ts
@@ -52,7 +52,7 @@
  * Maximum number of tasks in the open occurrences of a job. It bounds the memory
  * of the owner and the list of open occurrences in the job's head row.
  */
-export const maxOpenTasks = 5_000;
+const maxOpenTasks = 5_000;
 
 /** Maps an id to a number in [0, 1), always the same for the same id. */
 function randomFractionOf(id: string): number {
@@ -282,8 +282,8 @@
   ): void {
     if (!isSplit(spec)) return;
     const [head, ...partKeys] = progressRowKeys(spec, progress);
-    if (parts.length === 0) { for (const key of partKeys) this.dirty.add(key); }
-    this.dirty.add(head);
+    const written = parts.length === 0 ? [...partKeys, head] : [head];
+    for (const key of written) this.dirty.add(key);
     const current = new Set(partKeys);
     this.#obsolete.push(
       ...parts.map(({ key }) => key).filter((key) => !current.has(key)),
