Judge every occurrence of a repeated job in the model; share the set-up of the owner's tests

The oracle looked at the first occurrence of a job only. The tests of a shard's owner build it in one place. No test checks less.

--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -6,6 +6,7 @@
 import { CatalogHolder } from "../src/catalog/index.ts";
 import {
   type JobSpec,
+  occurrenceCount,
   parseTaskName,
   type StepSpec,
 } from "../src/batch/index.ts";
@@ -193,6 +194,7 @@
       payload: spec.payload,
       maxAttempts: spec.maxAttempts,
       steps: spec.steps,
+      occurrences: occurrenceCount(spec),
     });
     const answer = await this.#intake(entry).submit(
       this.#intakeRequest(spec, 3_000),
--- a/sim/oracle.ts
+++ b/sim/oracle.ts
@@ -18,6 +18,14 @@
  * - `TWICE`: a task ran twice at the same time, or again after it was done.
  * - `UNASKED`: a task ran that no caller submitted, or after its cancellation.
  */
+import {
+  finalViolations,
+  type JobRecord,
+  type RunRecord,
+  type SubmittedJob,
+} from "./final_checks.ts";
+
+export type { RunRecord, SubmittedJob } from "./final_checks.ts";
 
 /**
  * Time for which tasks may still start after a confirmed cancellation, in ms.
@@ -30,53 +38,6 @@
  */
 const detectionMs = 4_500;
 
-/** The parts of a submitted job that the oracle checks. */
-export interface SubmittedJob {
-  readonly id: string;
-  readonly payload: string;
-  readonly maxAttempts: number;
-  readonly steps: readonly SubmittedStep[];
-}
-
-/** The parts of a submitted step that the oracle checks. */
-export interface SubmittedStep {
-  readonly count: number;
-  readonly after: readonly number[];
-  readonly longRunning: boolean;
-  readonly maxUnavailable?: number;
-}
-
-/** One run of a task, as its endpoint observed it. Times are in ms. */
-export interface RunRecord {
-  readonly task: string;
-  readonly run: number;
-  readonly endpoint: string;
-  readonly startedAt: number;
-  endedAt?: number;
-  end?: string;
-  /**
-   * When the run became unavailable, and whether by an order of the scheduler;
-   * undefined before that.
-   */
-  down?: { readonly at: number; readonly byOrder: boolean };
-  /** Whether the end was recorded while the lease still held. */
-  isEndRecorded: boolean;
-}
-
-/** A submitted job and the answers that its caller got. */
-interface JobRecord {
-  readonly job: SubmittedJob;
-  readonly submittedAt: number;
-  isAccepted: boolean;
-  isRejected: boolean;
-  /** Whether some attempt to submit it got no definite answer. */
-  hasUnclearAnswer: boolean;
-  /** Whether a cancellation was sent, whatever its answer. */
-  isCancelSent: boolean;
-  /** Time of the first successful answer to a cancellation, in ms. */
-  cancelledAt?: number;
-}
-
 /**
  * Counts of observed events, so that tests can check what took place: starts,
  * ends of runs by kind, successful cancellations, and orders about hosts.
@@ -286,14 +247,8 @@
    */
   checkFinalState(phases: ReadonlyMap<string, string | undefined>): void {
     for (const [id, record] of this.#jobs) {
-      const phase = phases.get(id);
-      this.#checkStartsAfterEnd(record);
-      if (!record.isAccepted) {
-        this.#checkRejected(record);
-        continue;
-      }
-      if (phase === undefined) this.#report("LOST", `job ${id} is unknown`);
-      else this.#checkPhase(record, phase);
+      const found = finalViolations(record, phases.get(id), this.#runs);
+      for (const { rule, text } of found) this.#report(rule, text);
     }
   }
 
@@ -380,78 +335,6 @@
     );
   }
 
-  /** Checks that no task started again once it was done or out of attempts. */
-  #checkStartsAfterEnd({ job }: JobRecord): void {
-    for (const [task, runs] of this.#runs) {
-      if (!task.startsWith(`${job.id}.`)) continue;
-      const step = job.steps[Number(task.split(".")[2])];
-      if (step.longRunning) continue;
-      const doneRun = runs.find((r) => r.end === "done" && r.isEndRecorded);
-      const lastStartedAt = Math.max(...runs.map((r) => r.startedAt));
-      if (doneRun?.endedAt !== undefined && lastStartedAt > doneRun.endedAt) {
-        this.#report("TWICE", `${task} started after it was done`);
-      }
-      const failedAt = runs.filter((r) => r.end === "failed" && r.isEndRecorded)
-        .map((r) => r.endedAt ?? 0).sort((a, b) => a - b);
-      const exhaustedAt = failedAt[job.maxAttempts - 1];
-      if (exhaustedAt !== undefined && lastStartedAt > exhaustedAt) {
-        this.#report(
-          "BUDGET",
-          `${task} started after ${failedAt.length} failures`,
-        );
-      }
-    }
-  }
-
-  #checkRejected({ job, isRejected, hasUnclearAnswer }: JobRecord): void {
-    if (!isRejected || hasUnclearAnswer) return;
-    const ran = [...this.#runs.keys()].some((t) => t.startsWith(`${job.id}.`));
-    if (ran) this.#report("REFUSED", `job ${job.id} ran although rejected`);
-  }
-
-  #checkPhase(record: JobRecord, phase: string): void {
-    const { job, cancelledAt, isCancelSent } = record;
-    // A cancellation whose answer was lost may still have taken effect.
-    const isCancelled = cancelledAt !== undefined ||
-      (isCancelSent && phase === "cancelled");
-    const tasks = job.steps.flatMap((step, s) =>
-      Array.from({ length: step.count }, (_, i) => `${job.id}.0.${s}.${i}`)
-    );
-    if (phase === "completed") {
-      for (const task of tasks) {
-        if (!this.#isDone(task)) this.#report("MIXED", `${task} not done`);
-      }
-      return;
-    }
-    if (isCancelled) {
-      for (const task of tasks) {
-        if (this.#runs.get(task)?.some((r) => r.endedAt === undefined)) {
-          this.#report("UNASKED", `${task} still runs after its cancellation`);
-        }
-      }
-      return;
-    }
-    if (job.steps.some((step) => step.longRunning)) {
-      for (const task of tasks) {
-        const isRunning = this.#runs.get(task)?.some((r) =>
-          r.endedAt === undefined
-        );
-        if (!isRunning) this.#report("LOST", `${task} is not running`);
-      }
-      return;
-    }
-    const hasExhaustedTask = tasks.some((task) => {
-      const failedRuns = (this.#runs.get(task) ?? []).filter((r) =>
-        r.end === "failed"
-      );
-      return failedRuns.length >= job.maxAttempts;
-    });
-    if (phase === "failed" && !hasExhaustedTask) {
-      this.#report("LOST", `job ${job.id} failed without cause`);
-    }
-    if (phase !== "failed") this.#report("LOST", `job ${job.id} is ${phase}`);
-  }
-
   #isDone(task: string): boolean {
     return this.#runs.get(task)?.some((r) => r.end === "done") ?? false;
   }
--- a/test/scheduler/shard_owner_test.ts
+++ b/test/scheduler/shard_owner_test.ts
@@ -9,11 +9,17 @@
   encodeProgressRow,
   inboxKey,
   initialProgress,
+  type JobSpec,
   progressKey,
   taskAt,
 } from "../../src/batch/index.ts";
 import { delay } from "../../src/clock/index.ts";
-import { EndpointRegistry } from "../../src/endpoint/index.ts";
+import {
+  EndpointRegistry,
+  type HoldOutcome,
+  type RunningTask,
+  type TaskOrders,
+} from "../../src/endpoint/index.ts";
 import { ShardOwner } from "../../src/scheduler/index.ts";
 import { type Store } from "../../src/store/index.ts";
 import { acquireLease } from "../cluster/acquire_lease.ts";
@@ -24,55 +30,110 @@
 /** Time that a read without an answer takes, in ms. */
 const readTimeoutMs = 1_800;
 
+/** Time that a hold takes, in ms. */
+const holdMs = 100;
+
+const unused = () => Promise.reject(new Error("not used"));
+
+/** Orders of which none is expected. */
+const noOrders: TaskOrders = {
+  start: unused,
+  stop: unused,
+  pace: unused,
+  hold: unused,
+  endIncarnation: () => {},
+};
+
+/** A shard, and what its owner meets. */
+interface OwnerSetting {
+  readonly clock: VirtualClock;
+  /** Jobs in the inbox. */
+  readonly jobs: readonly JobSpec[];
+  /** Ids of the registered endpoints. */
+  readonly endpoints: readonly string[];
+  readonly orders: Partial<TaskOrders>;
+  /** The store as the owner sees it. */
+  readonly wrapStore?: (store: Store) => Store;
+  readonly onCrash?: (actor: string, err: unknown) => void;
+}
+
+/** Creates the owner of a shard with a lease; it is not started. */
+async function createOwner(setting: OwnerSetting) {
+  const { clock, jobs, endpoints, orders } = setting;
+  const { wrapStore = (store) => store } = setting;
+  const { onCrash = (_, err) => assert.fail(String(err)) } = setting;
+  const model = new ModelStore(clock, () => 1);
+  const store = model.connect("a", new ProcessClock(clock));
+  for (const job of jobs) {
+    model.write(inboxKey(shard, job.id), JSON.stringify(job));
+  }
+  const lease = await advanceUntil(
+    clock,
+    acquireLease(store, clock, shard, "a"),
+  );
+  const registry = new EndpointRegistry();
+  registry.reset(endpoints.map((id) => endpoint(id, { pool: shard })));
+  const owner = new ShardOwner({
+    shard,
+    lease,
+    previous: "ended",
+    store: wrapStore(store),
+    orders: { ...noOrders, ...orders },
+    advisor: { advise: unused },
+    registry,
+    clock,
+    log: { decision: () => {} },
+    vacating: () => new Map(),
+    refreshVacating: () => Promise.resolve(true),
+    onCrash,
+    onLost: () => assert.fail("lost"),
+  });
+  return { model, owner };
+}
+
+/** Answers a hold after a while with the running tasks. */
+async function answerHold(
+  clock: VirtualClock,
+  running: readonly RunningTask[],
+): Promise<HoldOutcome> {
+  await new Promise<void>((done) => clock.after(holdMs, done));
+  const lists = {
+    clockMs: clock.now(),
+    life: 7,
+    running,
+    ended: [],
+    hasMoreEnds: false,
+  };
+  return { kind: "lists", lists };
+}
+
 describe("ShardOwner.start", () => {
   describe("when every second read has no answer", () => {
     // Guards against jobs that stand still after a takeover: one read without
     // an answer made the owner drop the shard, and the next owner began anew.
     it("repeats these reads, keeps its lease and serves the jobs", async () => {
       const clock = new VirtualClock();
-      const model = new ModelStore(clock, () => 1);
-      const connected = model.connect("a", new ProcessClock(clock));
       const jobs = [1, 2, 3].map((n) => makeJob(n, "single", shard, 0));
-      for (const job of jobs) {
-        model.write(inboxKey(shard, job.id), JSON.stringify(job));
-        const value = encodeProgressRow(job, initialProgress, job.id);
-        model.write(progressKey(shard, job.id), value);
-      }
-      const lease = await advanceUntil(
-        clock,
-        acquireLease(connected, clock, shard, "a"),
-      );
       let reads = 0;
-      const store: Store = {
-        ...connected,
+      const wrapStore = (store: Store): Store => ({
+        ...store,
         range: async (query) => {
-          if (reads++ % 2 === 1) return await connected.range(query);
+          if (reads++ % 2 === 1) return await store.range(query);
           await new Promise<void>((done) => clock.after(readTimeoutMs, done));
           return Err({ kind: "unknown", message: "no answer" });
         },
-      };
-      const unused = () => Promise.reject(new Error("not used"));
-      const owner = new ShardOwner({
-        shard,
-        lease,
-        previous: "ended",
-        store,
-        orders: {
-          start: unused,
-          stop: unused,
-          pace: unused,
-          hold: unused,
-          endIncarnation: () => {},
-        },
-        advisor: { advise: unused },
-        registry: new EndpointRegistry(),
+      });
+      const { model, owner } = await createOwner({
         clock,
-        log: { decision: () => {} },
-        vacating: () => new Map(),
-        refreshVacating: () => Promise.resolve(true),
-        onCrash: (_, err) => assert.fail(String(err)),
-        onLost: () => assert.fail("lost"),
+        jobs,
+        endpoints: [],
+        orders: {},
+        wrapStore,
       });
+      for (const job of jobs) {
+        const value = encodeProgressRow(job, initialProgress, job.id);
+        model.write(progressKey(shard, job.id), value);
+      }
       const commits = model.putCount("owner");
       assert.equal(await advanceUntil(clock, owner.start()), true);
       assert.deepEqual(
@@ -91,16 +152,7 @@
     // again while the run was still in progress.
     it("adopts the run and sends no order about its task", async () => {
       const clock = new VirtualClock();
-      const model = new ModelStore(clock, () => 1);
-      const store = model.connect("a", new ProcessClock(clock));
       const job = makeJob(1, "single", shard, 0);
-      model.write(inboxKey(shard, job.id), JSON.stringify(job));
-      const lease = await advanceUntil(
-        clock,
-        acquireLease(store, clock, shard, "a"),
-      );
-      const registry = new EndpointRegistry();
-      registry.reset([endpoint("e", { pool: shard })]);
       const task = `${job.id}.0.0.0`;
       const running = [
         { task, run: 3, checkpoint: "", percent: 40, load: undefined },
@@ -110,36 +162,16 @@
         sent.push(kind);
         return Promise.resolve({ kind: "done", clockMs: 0 } as const);
       };
-      const owner = new ShardOwner({
-        shard,
-        lease,
-        previous: "ended",
-        store,
+      const { owner } = await createOwner({
+        clock,
+        jobs: [job],
+        endpoints: ["e"],
         orders: {
           start: record("start"),
           stop: record("stop"),
           pace: record("pace"),
-          hold: async () => {
-            await new Promise<void>((done) => clock.after(100, done));
-            const lists = {
-              clockMs: clock.now(),
-              life: 7,
-              running,
-              ended: [],
-              hasMoreEnds: false,
-            };
-            return { kind: "lists", lists };
-          },
-          endIncarnation: () => {},
+          hold: () => answerHold(clock, running),
         },
-        advisor: { advise: () => Promise.reject(new Error("not used")) },
-        registry,
-        clock,
-        log: { decision: () => {} },
-        vacating: () => new Map(),
-        refreshVacating: () => Promise.resolve(true),
-        onCrash: (_, err) => assert.fail(String(err)),
-        onLost: () => assert.fail("lost"),
       });
       assert.equal(await advanceUntil(clock, owner.start()), true);
       await advanceUntil(clock, delay(clock, 1_000));
@@ -151,66 +183,38 @@
       owner.stop();
     });
   });
-});
 
-describe("ShardOwner with an endpoint whose calls throw", () => {
-  // Guards against processes that end by themselves: an error in the loop of one
-  // endpoint was not caught anywhere.
-  it("goes on with the others, and reports the error", async () => {
-    const clock = new VirtualClock();
-    const model = new ModelStore(clock, () => 1);
-    const store = model.connect("a", new ProcessClock(clock));
-    const job = makeJob(1, "single", shard, 0);
-    model.write(inboxKey(shard, job.id), JSON.stringify(job));
-    const lease = await advanceUntil(
-      clock,
-      acquireLease(store, clock, shard, "a"),
-    );
-    const registry = new EndpointRegistry();
-    registry.reset(["bad", "good"].map((id) => endpoint(id, { pool: shard })));
-    const started: string[] = [];
-    const crashed: string[] = [];
-    const done = { kind: "done", clockMs: 0 } as const;
-    const owner = new ShardOwner({
-      shard,
-      lease,
-      previous: "ended",
-      store,
-      orders: {
-        start: ({ id }) => {
-          started.push(id);
-          return Promise.resolve(done);
-        },
-        stop: () => Promise.resolve(done),
-        pace: () => Promise.resolve(done),
-        hold: async ({ id }) => {
-          if (id === "bad") throw new Error("broken");
-          await new Promise<void>((settled) => clock.after(100, settled));
-          const lists = {
-            clockMs: clock.now(),
-            life: 7,
-            running: [],
-            ended: [],
-            hasMoreEnds: false,
-          };
-          return { kind: "lists", lists };
+  describe("when the calls to one of two endpoints throw", () => {
+    // Guards against processes that end by themselves: an error in the loop of
+    // one endpoint was not caught anywhere.
+    it("goes on with the other, and reports the error", async () => {
+      const clock = new VirtualClock();
+      const started: string[] = [];
+      const crashed: string[] = [];
+      const done = () => Promise.resolve({ kind: "done", clockMs: 0 } as const);
+      const { owner } = await createOwner({
+        clock,
+        jobs: [makeJob(1, "single", shard, 0)],
+        endpoints: ["bad", "good"],
+        orders: {
+          start: ({ id }) => {
+            started.push(id);
+            return done();
+          },
+          stop: done,
+          hold: ({ id }) =>
+            id === "bad"
+              ? Promise.reject(new Error("broken"))
+              : answerHold(clock, []),
         },
-        endIncarnation: () => {},
-      },
-      advisor: { advise: () => Promise.reject(new Error("not used")) },
-      registry,
-      clock,
-      log: { decision: () => {} },
-      vacating: () => new Map(),
-      refreshVacating: () => Promise.resolve(true),
-      onCrash: (actor) => crashed.push(actor),
-      onLost: () => assert.fail("lost"),
+        onCrash: (actor) => crashed.push(actor),
+      });
+      assert.equal(await advanceUntil(clock, owner.start()), true);
+      await advanceUntil(clock, delay(clock, 1_000));
+      assert.deepEqual([...new Set(started)], ["good"]);
+      assert.deepEqual(crashed, ["endpoint bad"]);
+      owner.stop();
     });
-    assert.equal(await advanceUntil(clock, owner.start()), true);
-    await advanceUntil(clock, delay(clock, 1_000));
-    assert.deepEqual([...new Set(started)], ["good"]);
-    assert.deepEqual(crashed, ["endpoint bad"]);
-    owner.stop();
   });
 });
 
--- a/test/sim/oracle_test.ts
+++ b/test/sim/oracle_test.ts
@@ -7,6 +7,7 @@
   id: "a",
   payload: "",
   maxAttempts: 1,
+  occurrences: 1,
   steps: [{ count: 1, after: [], longRunning: false }],
 };
 
