--- a/src/scheduler/job_expiry.ts
+++ b/src/scheduler/job_expiry.ts
@@ -12,6 +12,7 @@
   maxTransactionEntries,
   type RowCheck,
   type Store,
+  type StoreRow,
 } from "../store/index.ts";
 import type { DecisionLog } from "../telemetry/index.ts";
 import type { JobRegistry, TrackedJob } from "./job_registry.ts";
@@ -50,6 +51,17 @@
   );
 }
 
+/** The jobs whose row in the inbox is the one that was read. */
+function storedJobs(
+  jobs: readonly TrackedJob[],
+  rows: readonly StoreRow[],
+): readonly TrackedJob[] {
+  const versions = new Map(rows.map(({ key, version }) => [key, version]));
+  return jobs.filter(({ spec, inboxVersion }) =>
+    versions.get(spec.id) === inboxVersion
+  );
+}
+
 /** Removes expired jobs of one shard; {@link pass} is called periodically. */
 export class JobExpiry {
   #isRemoving = false;
@@ -99,23 +111,16 @@
       cancelKey(shard, spec.id),
     ]);
     const outcome = await store.commit({ checks, puts: [], removes });
-    const message = outcome.err ? outcome.val.message : undefined;
-    const kind = outcome.err ? outcome.val.kind : outcome.val.kind;
     log.decision("jobs-expired", {
       shard,
       jobs: jobs.length,
-      outcome: kind,
-      message,
+      outcome: outcome.val.kind,
+      message: outcome.err ? outcome.val.message : undefined,
     });
     if (outcome.err) return;
     if (outcome.val.kind === "committed") return this.#forget(jobs);
-    const versions = new Map(
-      outcome.val.rows.map(({ key, version }) => [key, version]),
-    );
-    const isStored = ({ spec, inboxVersion }: TrackedJob) =>
-      versions.get(spec.id) === inboxVersion;
-    const stored = jobs.filter(isStored);
-    this.#forget(jobs.filter((job) => !isStored(job)));
+    const stored = storedJobs(jobs, outcome.val.rows);
+    this.#forget(jobs.filter((job) => !stored.includes(job)));
     if (stored.length > 0 && stored.length < jobs.length) {
       await this.#removeFromInbox(stored);
     }
--- a/src/scheduler/planner.ts
+++ b/src/scheduler/planner.ts
@@ -255,6 +255,7 @@
     failedEndpoints: undefined,
   };
   const endpoints = openEndpoints(sessions, policy, current, now);
+  if (endpoints.length === 0) return [];
   const pass: PassState = { endpoints, current, policy };
   const planned: PlannedTask[] = [];
   const unplaced = new UnplacedDemands();
