Forget a job that is held back with the job itself; read two comments more plainly

Found when the change was read once more: the id of a job that was cancelled while an occurrence of it was held back stayed in its owner's memory. The order of requests for tickets is unchanged.

--- a/src/batch/progress_layout.ts
+++ b/src/batch/progress_layout.ts
@@ -10,8 +10,8 @@
 import { hasRun, type JobProgress, type OccurrenceTasks } from "./progress.ts";
 
 /**
- * Maximum number of tasks in one row. A task takes up to 520 bytes, with the
- * longest id of an endpoint and the longest checkpoint, and a row 64 KiB.
+ * Maximum number of tasks in one row of at most 64 KiB. The entry of a task has
+ * up to 520 bytes, with the longest id of an endpoint and the longest checkpoint.
  */
 export const maxTasksPerRow = 100;
 
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -64,8 +64,8 @@
   readonly #reports: ShardReports;
   readonly #advisedSteps: AdvisedSteps;
   #isStopped = false;
-  /** Ids of jobs of which a due occurrence has to wait for others to end. */
-  readonly #heldBack = new Set<string>();
+  /** Jobs of which a due occurrence has to wait for others to end. */
+  readonly #heldBack = new WeakSet<TrackedJob>();
 
   constructor(private readonly deps: ShardDependencies) {
     const { shard, clock, lease } = deps;
@@ -292,18 +292,17 @@
   }
 
   /**
-   * Opens the due occurrences of a job. Logs when one has to wait for others
-   * to end, once until none has to.
+   * Opens the due occurrences of a job. Logs the first time that one has to
+   * wait for others to end.
    */
   #openDue(job: TrackedJob, wall: number, now: number): void {
-    const { id } = job.spec;
     const isHeldBack = this.jobs.openDue(job, wall, now);
-    if (!isHeldBack) this.#heldBack.delete(id);
-    if (!isHeldBack || this.#heldBack.has(id)) return;
-    this.#heldBack.add(id);
+    if (!isHeldBack) this.#heldBack.delete(job);
+    if (!isHeldBack || this.#heldBack.has(job)) return;
+    this.#heldBack.add(job);
     this.deps.log.decision("occurrence-held-back", {
       shard: this.deps.shard,
-      job: id,
+      job: job.spec.id,
       open: job.progress.open.size,
       next: job.progress.nextOccurrence,
     });
--- a/src/scheduler/ticket_cache.ts
+++ b/src/scheduler/ticket_cache.ts
@@ -92,12 +92,10 @@
    * waits for long, whose tickets expire, keeps no other from its requests.
    */
   byLastRequest(steps: Iterable<string>): readonly string[] {
-    const requestedAt = (step: string) =>
-      this.#requestedAt.get(step) ?? -Infinity;
-    const compare = (a: string, b: string) =>
-      requestedAt(a) < requestedAt(b) ? -1 : 1;
+    const requestedAt = (step: string) => this.#requestedAt.get(step) ?? 0;
+    const isNew = (step: string) => !this.#requestedAt.has(step);
     return [...steps].sort((a, b) =>
-      requestedAt(a) === requestedAt(b) ? 0 : compare(a, b)
+      Number(isNew(b)) - Number(isNew(a)) || requestedAt(a) - requestedAt(b)
     );
   }
 
