Show an accelerator job that is never started instead of a large one

The demand for hosts ignores accelerators, so that a pool whose open hosts have none left keeps the others closed.

--- a/review/stand_ins_2/worker.mjs
+++ b/review/stand_ins_2/worker.mjs
@@ -87,10 +87,11 @@
 
   /** Capacity that is in use, also by what is being stopped. */
   get used() {
-    const used = { cpu: 0, memMb: 0 };
+    const used = { cpu: 0, memMb: 0, gpu: 0 };
     for (const { phase } of this.runs.values()) {
       if (!phase.fills) used.cpu += phase.cpu ?? 0;
       used.memMb += phase.memMb ?? 0;
+      used.gpu += phase.gpu ?? 0;
     }
     return used;
   }
@@ -179,11 +180,12 @@
       present?.run ?? 0,
     );
     if (run <= highest) return this.#reject("old");
-    const { cpu, memMb } = this.used;
+    const { cpu, memMb, gpu } = this.used;
     const { capacity } = this.identity;
     const hasRoom = present === undefined &&
       (phase.fills || cpu + (phase.cpu ?? 0) <= capacity.cpu) &&
-      memMb + (phase.memMb ?? 0) <= capacity.memMb;
+      memMb + (phase.memMb ?? 0) <= capacity.memMb &&
+      gpu + (phase.gpu ?? 0) <= capacity.gpu;
     if (!hasRoom) return this.#reject("room");
     const started = { task, run, phase, saved: lastCheckpoint };
     started.startedAt = performance.now();
