--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -1,6 +1,5 @@
-/** A config sends a queue to another service; a submission is repeated. */
+/** A job declares its sizes in the wrong unit, so that it can never run. */
 import {
-  bounds,
   delay,
   limits,
   route,
@@ -8,68 +7,71 @@
   service,
 } from "../stand_ins_2/deployment.mjs";
 
-const job = "5c0e7a21d94b36f8";
-const phases = [{ count: 2, cpu: 500, memMb: 256, estRuntimeMs: 800 }];
-const runMs = 800;
+const job = "c0e7a21d94b36f85";
+const runMs = 2_100;
+/** As many tasks as the largest job of rent-bill; each needs all of the memory of
+ * a worker. */
+const taskCount = 32;
+const cpu = 2_000;
+const memMb = 65_536;
+const bytesPerMb = 1_048_576;
+const watchedMs = 60_000;
 
-/** Time after the 2xx response at which the submission is repeated, in ms. */
-const repeatedAfterMs = 6_000;
-const watchedMs = 10_000;
-/** Time between the version without the route and the one with it, in ms. */
-const configGapMs = 400;
+/** Own ends of a process, and machines with them, that break the rule. */
+const maxOwnEnds = 3;
+const minMachines = 2;
 
 const options = {
   zones: ["fukuoka", "fukuoka", "kumamoto", "kumamoto", "kagoshima", "oita"],
-  pools: ["huvo11a", "wuno96b"],
-  machinesPerPool: 4,
+  pools: ["huvo11a", "wuno96b", "lohu93e"],
+  machinesPerPool: 8,
   capacity: { cpu: 16_000, memMb: 65_536, gpu: 0 },
+  restartAfterMs: 1_000,
 };
-const services = options.pools.map(service);
+const queue = route("r-rent", "huvo11a", { priority: 1 });
 const other = route("r-other", "wuno96b");
-const before = route("r-rent", "huvo11a");
-const after = route("r-rent", "wuno96b");
-const config = (version, ...routes) => ({
-  version,
-  routes: [...routes, other],
-  services,
+const config = {
+  version: 7,
+  routes: [queue, other],
+  services: [
+    service("huvo11a"),
+    service("wuno96b"),
+    { ...service("lohu93e"), standby: true },
+  ],
   limits,
-});
+};
 
 await runCase(
   import.meta.url,
   options,
-  config(7, before),
+  config,
   async (deployment, isTroubled) => {
-    const accepted = await deployment.submit(0, before, job, phases, runMs);
-    if (accepted.status !== 200) throw new Error("the job was not accepted");
-    const acceptedAt = deployment.now;
-    await delay(2_500);
-    const noted = deployment.taskEvents(job, "end-noted").length;
-    const first = await deployment.call(1, before, "GET", job);
-    if (noted === 0 || !first.text.includes("completed")) {
-      throw new Error("the job was not completed in time");
-    }
-    if (isTroubled) {
-      deployment.configure(config(9));
-      await delay(configGapMs);
-      deployment.configure(config(12, after));
+    const phase = {
+      count: taskCount,
+      cpu,
+      memMb: isTroubled ? memMb * bytesPerMb : memMb,
+      estRuntimeMs: runMs,
+    };
+    const { status } = await deployment.submit(0, queue, job, [phase], runMs);
+    if (status !== 200) throw new Error("the job was not accepted");
+    const until = deployment.now + watchedMs;
+    let calls = 0;
+    let unanswered = 0;
+    while (deployment.now < until) {
+      for (const [entry] of options.zones.entries()) {
+        const answer = await deployment.call(entry, queue, "GET", job);
+        calls++;
+        if (answer.status === undefined) unanswered++;
+      }
+      await delay(1_000);
     }
-    await delay(bounds.configApplyMs + 300);
-    const state = await deployment.call(2, before, "GET", job);
-    await delay(acceptedAt + repeatedAfterMs - deployment.now);
-    const repeated = await deployment.submit(3, before, job, phases, runMs);
-    await delay(watchedMs);
-    const starts = deployment.taskEvents(job, "start");
-    const ends = deployment.taskEvents(job, "end")
-      .filter((e) => e.how === "done");
-    const doubled = starts.filter((start) =>
-      ends.some((end) => end.task === start.task && end.at < start.at)
-    );
-    if (doubled.length === 0) return undefined;
-    const [{ task, at, pool }] = doubled;
-    return `TWICE: ${doubled.length} tasks were started after their run had ` +
-      `ended done and the end was noted, first ${task} at ${at} ms in ` +
-      `${pool}; the repeated submission got ${repeated.status}, ` +
-      `the state before it ${state.status}`;
+    const state = await deployment.call(2, queue, "GET", job);
+    deployment.record({ event: "calls", calls, unanswered, state: state.text });
+    const ends = [...deployment.ownEnds];
+    const often = ends.filter(([, count]) => count >= maxOwnEnds);
+    if (often.length < minMachines) return undefined;
+    return `Fault: after one job, processes ended by themselves: ` +
+      ends.map(([name, count]) => `${name} ${count} times`).join(", ") +
+      `; ${unanswered} of ${calls} calls got no answer`;
   },
 );
--- a/review/7/run.mjs
+++ b/review/7/run.mjs
@@ -1,5 +1,6 @@
-/** An order arrives late, after its worker has started again under its id. */
+/** A config sends a queue to another service; a submission is repeated. */
 import {
+  bounds,
   delay,
   limits,
   route,
@@ -7,16 +8,15 @@
   service,
 } from "../stand_ins_2/deployment.mjs";
 
-const job = "94b36f85c0e7a21d";
-const phases = [{ count: 1, cpu: 500, memMb: 256, estRuntimeMs: 1_000 }];
-const runMs = 1_000;
+const job = "5c0e7a21d94b36f8";
+const phases = [{ count: 2, cpu: 500, memMb: 256, estRuntimeMs: 800 }];
+const runMs = 800;
 
-/** Time by which the first order to start the task is late, in ms. */
-const lateMs = 11_000;
-/** Time from the submission to the crash, and of the crash, in ms. */
-const crashAfterMs = 7_000;
-const downMs = 1_000;
-const watchedMs = 9_000;
+/** Time after the 2xx response at which the submission is repeated, in ms. */
+const repeatedAfterMs = 6_000;
+const watchedMs = 10_000;
+/** Time between the version without the route and the one with it, in ms. */
+const configGapMs = 400;
 
 const options = {
   zones: ["fukuoka", "fukuoka", "kumamoto", "kumamoto", "kagoshima", "oita"],
@@ -24,53 +24,52 @@
   machinesPerPool: 4,
   capacity: { cpu: 16_000, memMb: 65_536, gpu: 0 },
 };
-const queue = route("r-rent", "huvo11a");
-const config = {
-  version: 7,
-  routes: [queue, route("r-other", "wuno96b")],
-  services: options.pools.map(service),
+const services = options.pools.map(service);
+const other = route("r-other", "wuno96b");
+const before = route("r-rent", "huvo11a");
+const after = route("r-rent", "wuno96b");
+const config = (version, ...routes) => ({
+  version,
+  routes: [...routes, other],
+  services,
   limits,
-};
+});
 
 await runCase(
   import.meta.url,
   options,
-  config,
+  config(7, before),
   async (deployment, isTroubled) => {
-    // The workers have been up for longer than the clock of a new life shows.
-    await delay(10_000);
-    let delayedAt;
-    for (const worker of deployment.workers) {
-      worker.delayOrder = (path) => {
-        if (!isTroubled || delayedAt !== undefined) return undefined;
-        if (path !== "/-/run-start") return undefined;
-        delayedAt = worker;
-        return lateMs;
-      };
-    }
-    const { status } = await deployment.submit(0, queue, job, phases, runMs);
-    if (status !== 200) throw new Error("the job was not accepted");
-    await delay(crashAfterMs);
+    const accepted = await deployment.submit(0, before, job, phases, runMs);
+    if (accepted.status !== 200) throw new Error("the job was not accepted");
+    const acceptedAt = deployment.now;
+    await delay(2_500);
     const noted = deployment.taskEvents(job, "end-noted").length;
-    const state = await deployment.call(1, queue, "GET", job);
-    if (noted === 0 || !state.text.includes("completed")) {
+    const first = await deployment.call(1, before, "GET", job);
+    if (noted === 0 || !first.text.includes("completed")) {
       throw new Error("the job was not completed in time");
     }
-    const worker = delayedAt ??
-      deployment.workers.find((w) =>
-        w.identity.id === deployment.taskEvents(job, "start")[0].worker
-      );
-    await deployment.restartWorker(worker, downMs);
+    if (isTroubled) {
+      deployment.configure(config(9));
+      await delay(configGapMs);
+      deployment.configure(config(12, after));
+    }
+    await delay(bounds.configApplyMs + 300);
+    const state = await deployment.call(2, before, "GET", job);
+    await delay(acceptedAt + repeatedAfterMs - deployment.now);
+    const repeated = await deployment.submit(3, before, job, phases, runMs);
     await delay(watchedMs);
     const starts = deployment.taskEvents(job, "start");
-    const done = deployment.taskEvents(job, "end")
+    const ends = deployment.taskEvents(job, "end")
       .filter((e) => e.how === "done");
     const doubled = starts.filter((start) =>
-      done.some((end) => end.at < start.at)
+      ends.some((end) => end.task === start.task && end.at < start.at)
     );
     if (doubled.length === 0) return undefined;
-    const [{ task, run, at, worker: id }] = doubled;
-    return `TWICE: run ${run} of ${task} was started at ${at} ms on ${id}, ` +
-      `after a run had ended done at ${done[0].at} ms and the end was noted`;
+    const [{ task, at, pool }] = doubled;
+    return `TWICE: ${doubled.length} tasks were started after their run had ` +
+      `ended done and the end was noted, first ${task} at ${at} ms in ` +
+      `${pool}; the repeated submission got ${repeated.status}, ` +
+      `the state before it ${state.status}`;
   },
 );
--- a/review/stand_ins_2/deployment.mjs
+++ b/review/stand_ins_2/deployment.mjs
@@ -91,13 +91,17 @@
   #startedAt = performance.now();
   #entries = [];
   #nextWorker = 0;
+  #isStopping = false;
   #dir = mkdtempSync(join(tmpdir(), "briartide-review-"));
 
-  /** `folder` is that of the case; `zones` are those of the entries. */
-  constructor(folder, { zones, pools, machinesPerPool, capacity }) {
+  /**
+   * `folder` is that of the case; `zones` are those of the entries. A process
+   * that ends is started again after `restartAfterMs`, if that is given.
+   */
+  constructor(folder, options) {
     this.recordFile = join(folder, "record.txt");
     writeFileSync(this.recordFile, "");
-    this.options = { zones, pools, machinesPerPool, capacity };
+    this.options = options;
     this.cloud = new CloudStandIn(
       bounds,
       (machine) => this.#startWorker(machine),
@@ -150,6 +154,7 @@
 
   /** Ends all processes and stand-ins. */
   async stop() {
+    this.#isStopping = true;
     const ended = this.#entries.map(({ child }) =>
       child.exitCode !== null || child.signalCode !== null
         ? undefined
@@ -163,9 +168,14 @@
     rmSync(this.#dir, { recursive: true, force: true });
   }
 
-  /** Whether an entry has ended by itself. */
-  get hasLostEntry() {
-    return this.#entries.some(({ child }) => child.exitCode !== null);
+  /** Number of times that each entry has ended by itself, by name. */
+  get ownEnds() {
+    const ends = new Map();
+    for (const { event, entry } of this.events) {
+      if (event !== "entry-ended") continue;
+      ends.set(entry, (ends.get(entry) ?? 0) + 1);
+    }
+    return ends;
   }
 
   /**
@@ -316,6 +326,15 @@
     }).replace("127.0.0.1:9464", `127.0.0.1:${metrics}`);
     const file = join(this.#dir, `${name}.toml`);
     writeFileSync(file, settings);
+    const readyAddress = `127.0.0.1:${ready}`;
+    const entry = { name, zone, file, callers, ready: readyAddress };
+    this.#spawn(entry);
+    return entry;
+  }
+
+  /** Starts the process of an entry, with its settings file. */
+  #spawn(entry) {
+    const { name, file } = entry;
     const log = openSync(join(this.#dir, `${name}.log`), "a");
     const [command, ...args] = entryCommand();
     const { PATH, HOME } = process.env;
@@ -324,7 +343,15 @@
       stdio: ["ignore", log, log],
     });
     closeSync(log);
-    return { name, zone, child, callers, ready: `127.0.0.1:${ready}` };
+    entry.child = child;
+    child.once("exit", async (code, signal) => {
+      if (this.#isStopping) return;
+      this.record({ event: "entry-ended", entry: name, code, signal });
+      const { restartAfterMs } = this.options;
+      if (restartAfterMs === undefined) return;
+      await delay(restartAfterMs);
+      if (!this.#isStopping) this.#spawn(entry);
+    });
   }
 
   /** Waits until all entries are ready. */
@@ -415,7 +442,9 @@
   try {
     await deployment.start(config);
     const broken = await play(deployment, isTroubled);
-    if (deployment.hasLostEntry) throw new Error("an entry has ended");
+    if (broken === undefined && deployment.ownEnds.size > 0) {
+      throw new Error("an entry has ended");
+    }
     deployment.record({ event: "verdict", broken: broken ?? "held" });
     console.log(broken === undefined ? "held" : `BROKEN: ${broken}`);
     await deployment.stop();
