--- a/review/stand_ins_2/deployment.mjs
+++ b/review/stand_ins_2/deployment.mjs
@@ -37,6 +37,9 @@
   maintenanceS: 2,
 };
 
+/** Time after which an entry that is not ready is started anew, in ms. */
+const startTimeoutMs = 5_000;
+
 /** Time in which the entries have to be ready, in ms. */
 const readyTimeoutMs = 20_000;
 
@@ -92,6 +95,7 @@
   #entries = [];
   #nextWorker = 0;
   #isStopping = false;
+  #isReady = false;
   #dir = mkdtempSync(join(tmpdir(), "briartide-review-"));
 
   /**
@@ -168,6 +172,11 @@
     rmSync(this.#dir, { recursive: true, force: true });
   }
 
+  /** The entries: their names, addresses and processes. */
+  get entries() {
+    return this.#entries;
+  }
+
   /** Number of times that each entry has ended by itself, by name. */
   get ownEnds() {
     const ends = new Map();
@@ -327,7 +336,8 @@
     const file = join(this.#dir, `${name}.toml`);
     writeFileSync(file, settings);
     const readyAddress = `127.0.0.1:${ready}`;
-    const entry = { name, zone, file, callers, ready: readyAddress };
+    const startedAt = performance.now();
+    const entry = { name, zone, file, callers, ready: readyAddress, startedAt };
     this.#spawn(entry);
     return entry;
   }
@@ -345,7 +355,7 @@
     closeSync(log);
     entry.child = child;
     child.once("exit", async (code, signal) => {
-      if (this.#isStopping) return;
+      if (this.#isStopping || !this.#isReady) return;
       this.record({ event: "entry-ended", entry: name, code, signal });
       const { restartAfterMs } = this.options;
       if (restartAfterMs === undefined) return;
@@ -361,13 +371,17 @@
       while (!await isReady(this.#entries[i].ready)) {
         const { name, zone, child } = this.#entries[i];
         if (performance.now() > deadline) throw new Error(`${name} not ready`);
-        // Another process may have taken a port that was free a moment ago.
-        if (child.exitCode !== null) {
+        // Another process may have taken a port that was free a moment ago. The
+        // entry then may not end by itself.
+        const { startedAt } = this.#entries[i];
+        if (performance.now() - startedAt > startTimeoutMs) {
+          child.kill("SIGKILL");
           this.#entries[i] = await this.#startEntry(name, zone);
         }
         await delay(100);
       }
     }
+    this.#isReady = true;
     this.record({ event: "ready", entries: this.#entries.length });
   }
 }
