--- a/review/6/run.mjs
+++ b/review/6/run.mjs
@@ -9,6 +9,15 @@
 
 const job = "c0e7a21d94b36f85";
 const runMs = 2_100;
+/** Sound jobs that come beside it, so that it is 1 of 20. */
+const soundJobs = Array.from(
+  { length: 19 },
+  (_, i) => `c0e7a21d94b36f${i.toString(16).padStart(2, "0")}`,
+);
+const soundPhases = [{ count: 6, cpu: 880, memMb: 2_500, estRuntimeMs: 1_000 }];
+const soundRunMs = 1_000;
+/** Time in which all of them come, in ms. */
+const trafficMs = 3_000;
 /** As many tasks as the largest job of rent-bill; each needs all of the memory of
  * a worker. */
 const taskCount = 32;
@@ -52,7 +61,15 @@
       memMb: isTroubled ? memMb * bytesPerMb : memMb,
       estRuntimeMs: runMs,
     };
-    const { status } = await deployment.submit(0, queue, job, [phase], runMs);
+    const answers = [deployment.submit(0, queue, job, [phase], runMs)];
+    for (const [i, id] of soundJobs.entries()) {
+      const entry = i % options.zones.length;
+      answers.push(
+        deployment.submit(entry, queue, id, soundPhases, soundRunMs),
+      );
+      await delay(trafficMs / (soundJobs.length + 1));
+    }
+    const [{ status }] = await Promise.all(answers);
     if (status !== 200) throw new Error("the job was not accepted");
     const until = deployment.now + watchedMs;
     let calls = 0;
--- a/review/stand_ins_2/deployment.mjs
+++ b/review/stand_ins_2/deployment.mjs
@@ -344,6 +344,7 @@
 
   /** Starts the process of an entry, with its settings file. */
   #spawn(entry) {
+    if (this.#isStopping) throw new Error("the deployment stops");
     const { name, file } = entry;
     const log = openSync(join(this.#dir, `${name}.log`), "a");
     const [command, ...args] = entryCommand();
