--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -103,11 +103,23 @@
   return steps.map((step) => Array<TaskState>(step.count).fill(initialTask));
 }
 
-/** Opens the next occurrence with all its tasks in their initial state. */
-export function openOccurrence(p: JobProgress, spec: JobSpec): JobProgress {
+/** Opens the next occurrences with all their tasks in their initial state. */
+export function openOccurrences(
+  p: JobProgress,
+  spec: JobSpec,
+  count: number,
+): JobProgress {
   const open = new Map(p.open);
-  open.set(p.nextOccurrence, initialTasks(spec.steps));
-  return { ...p, open, nextOccurrence: p.nextOccurrence + 1 };
+  const nextOccurrence = p.nextOccurrence + count;
+  for (let k = p.nextOccurrence; k < nextOccurrence; k++) {
+    open.set(k, initialTasks(spec.steps));
+  }
+  return { ...p, open, nextOccurrence };
+}
+
+/** Opens the next occurrence, as {@link openOccurrences} does. */
+export function openOccurrence(p: JobProgress, spec: JobSpec): JobProgress {
+  return openOccurrences(p, spec, 1);
 }
 
 function withTask(p: JobProgress, ref: TaskRef, task: TaskState): JobProgress {
--- a/src/capacity/demand_reporter.ts
+++ b/src/capacity/demand_reporter.ts
@@ -7,19 +7,14 @@
 import { parseJson, type RowPut } from "../store/index.ts";
 import type { DecisionLog } from "../telemetry/index.ts";
 import { ArrivalRate } from "./arrival_rate.ts";
-import { computeHostDemand } from "./host_demand.ts";
+import { computeHostDemand, type HostDemandInput } from "./host_demand.ts";
 import { HostOffers } from "./host_offers.ts";
 import {
   type PoolDemand,
   poolDemandKey,
   poolDemandSchema,
 } from "./pool_demand.ts";
-import type {
-  IsLate,
-  PoolEndpoint,
-  PoolJob,
-  RunTimeEstimates,
-} from "./pool_state.ts";
+import type { IsLate, PoolEndpoint, RunTimeEstimates } from "./pool_state.ts";
 
 /** Minimum time between two writes of the demand row, in ms. */
 const minWriteIntervalMs = 180;
@@ -56,6 +51,13 @@
   readonly write: (row: RowPut, onStored: () => void) => void;
 }
 
+/** State of a pool from which its demand is computed. */
+export interface PoolReport
+  extends Pick<HostDemandInput, "jobs" | "endpoints" | "knownHosts"> {
+  /** Hosts that are needed whatever the size of the jobs. */
+  readonly minHosts: number;
+}
+
 /** Computes the host demand of one shard and writes it to the store. */
 export class DemandReporter {
   readonly offers = new HostOffers();
@@ -98,24 +100,19 @@
 
   /**
    * Computes the demand, and writes it when it has changed.
-   * @param minHosts Hosts that are needed whatever the size of the jobs.
    */
-  report(
-    jobs: readonly PoolJob[],
-    endpoints: readonly PoolEndpoint[],
-    minHosts: number,
-  ): void {
+  report({ minHosts, ...pool }: PoolReport): void {
+    const { endpoints } = pool;
     const { clock, shard } = this.deps;
     const now = clock.now();
     if (now - this.#writtenAt < minWriteIntervalMs) return;
     const arrivingCpuMillis = this.#arrivals.forecastCpuMillis(now);
     const isLate = this.#lateFilter(now);
-    const hostsForJobs = computeHostDemand(
-      jobs,
-      endpoints,
+    const hostsForJobs = computeHostDemand({
+      ...pool,
       arrivingCpuMillis,
       isLate,
-    );
+    });
     const want = Math.max(hostsForJobs, minHosts);
     this.offers.adjust(endpoints, want);
     this.#logChange(want, endpoints, arrivingCpuMillis);
--- a/src/capacity/host_demand.ts
+++ b/src/capacity/host_demand.ts
@@ -6,11 +6,17 @@
  * that can no longer be on time count for a fraction, so that they don't keep
  * hosts that on-time work of another pool needs. The future need is the forecast
  * of arriving work: a surge shows in the arrivals before its tasks queue up.
+ *
+ * A task takes one host at the most, whatever size its caller has declared. One
+ * that is larger than every known host needs none, as no host would help it.
  */
 import {
   addResources,
+  type JobProgress,
+  type JobSpec,
   multiplyResources,
   noResources,
+  type ReadyStep,
   readySteps,
   reservedResources,
   type Resources,
@@ -29,16 +35,52 @@
 /** Weight of the CPU and memory of late jobs in the need of a pool. */
 const lateWorkWeight = 0.25;
 
+/**
+ * Returns whether a task of a size fits on a known host. GPUs are left out: hosts
+ * with some may be in standby, where they are not known.
+ */
+function fitsKnownHost(
+  { cpuMillis, memoryMb }: Resources,
+  knownHosts: readonly Resources[],
+): boolean {
+  return knownHosts.some((host) =>
+    cpuMillis <= host.cpuMillis && memoryMb <= host.memoryMb
+  );
+}
+
+/** The ready steps of a job whose tasks fit on a known host. */
+function runnableSteps(
+  progress: JobProgress,
+  spec: JobSpec,
+  knownHosts: readonly Resources[],
+): readonly ReadyStep[] {
+  return readySteps(progress, spec).filter(({ step }) =>
+    fitsKnownHost(reservedResources(spec.steps[step]), knownHosts)
+  );
+}
+
+/** Input of {@link computeHostDemand}. */
+export interface HostDemandInput {
+  readonly jobs: readonly PoolJob[];
+  /** Endpoints of the pool. */
+  readonly endpoints: readonly PoolEndpoint[];
+  /** Capacities of the hosts of all pools, as far as they are known. */
+  readonly knownHosts: readonly Resources[];
+  /** Forecast of arriving work, in thousandths of a core. */
+  readonly arrivingCpuMillis: number;
+  readonly isLate: IsLate;
+}
+
 /** Adds up the resources of open tasks, those of late jobs with a weight. */
 function requestedResources(
-  jobs: readonly PoolJob[],
-  isLate: IsLate,
+  { jobs, knownHosts, isLate }: HostDemandInput,
 ): Resources {
   let onTime = noResources;
   let late = noResources;
   for (const job of jobs) {
     const { progress, spec } = job;
-    for (const { occurrence, step, open } of readySteps(progress, spec)) {
+    const steps = runnableSteps(progress, spec, knownHosts);
+    for (const { occurrence, step, open } of steps) {
       const resources = multiplyResources(
         reservedResources(spec.steps[step]),
         open,
@@ -52,10 +94,12 @@
 }
 
 /** Returns the fewest endpoints that satisfy every step's `maxPerEndpoint`. */
-function minEndpointsForSpread(jobs: Iterable<PoolJob>): number {
+function minEndpointsForSpread(
+  { jobs, knownHosts }: HostDemandInput,
+): number {
   let most = 0;
   for (const { progress, spec } of jobs) {
-    for (const { step, open } of readySteps(progress, spec)) {
+    for (const { step, open } of runnableSteps(progress, spec, knownHosts)) {
       const { maxPerEndpoint } = spec.steps[step];
       if (maxPerEndpoint <= 0) continue;
       most = Math.max(most, Math.ceil(open / maxPerEndpoint));
@@ -66,22 +110,16 @@
 
 /**
  * Returns the number of hosts that a shard needs. Hosts that are needed only to
- * spread tasks have free capacity, which counts as spare. `arrivingCpuMillis` is
- * the forecast of arriving work, in thousandths of a core. Before an endpoint
+ * spread tasks have free capacity, which counts as spare. Before an endpoint
  * has registered, the capacity of a host is unknown and only spreading counts.
  */
-export function computeHostDemand(
-  jobs: readonly PoolJob[],
-  endpoints: readonly PoolEndpoint[],
-  arrivingCpuMillis: number,
-  isLate: IsLate,
-): number {
-  const requested = requestedResources(jobs, isLate);
-  const capacity = endpoints[0]?.capacity;
-  const spreadHosts = minEndpointsForSpread(jobs);
+export function computeHostDemand(input: HostDemandInput): number {
+  const requested = requestedResources(input);
+  const capacity = input.endpoints[0]?.capacity;
+  const spreadHosts = minEndpointsForSpread(input);
   if (capacity === undefined) return Math.max(minHosts, spreadHosts);
   const spare = multiplyResources(capacity, spareHosts);
-  const cpu = Math.max(requested.cpuMillis, arrivingCpuMillis) +
+  const cpu = Math.max(requested.cpuMillis, input.arrivingCpuMillis) +
     spare.cpuMillis;
   const memory = requested.memoryMb + spare.memoryMb;
   const hostsForCpu = cpu / Math.max(1, capacity.cpuMillis * maxFillShare);
--- a/src/capacity/host_moves.ts
+++ b/src/capacity/host_moves.ts
@@ -55,13 +55,17 @@
   ).length;
 }
 
-/** Pools that are short of hosts, once per missing host, in round-robin. */
+/**
+ * Pools that are short of hosts, once per missing host, in round-robin. A pool
+ * that wants more hosts than there are counts as short of all of them.
+ */
 function poolsShortOfHosts(input: HostMoveInput): readonly string[] {
   const needs: { readonly pool: string; readonly turn: number }[] = [];
   for (const { name, standby } of input.pools) {
     const demand = input.demands.get(name);
     if (standby || demand === undefined) continue;
-    const missing = demand.want - countUsableHosts(input, name);
+    const want = Math.min(demand.want, input.hosts.length);
+    const missing = want - countUsableHosts(input, name);
     for (let turn = 0; turn < missing; turn++) needs.push({ pool: name, turn });
   }
   return needs.sort((a, b) => a.turn - b.turn).map(({ pool }) => pool);
--- a/src/endpoint/registry.ts
+++ b/src/endpoint/registry.ts
@@ -53,9 +53,14 @@
     return this.#endpoints.get(id);
   }
 
+  /** Returns all endpoints. */
+  all(): readonly TaskEndpoint[] {
+    return [...this.#endpoints.values()];
+  }
+
   /** Returns the endpoints of a pool. */
   inPool(pool: string): readonly TaskEndpoint[] {
-    return [...this.#endpoints.values()].filter((e) => e.pool === pool);
+    return this.all().filter((e) => e.pool === pool);
   }
 
   /** Registers a change listener; the returned function removes it. */
--- a/src/scheduler/job_registry.ts
+++ b/src/scheduler/job_registry.ts
@@ -19,7 +19,7 @@
   jobSpecSchema,
   obsoleteRowKeys,
   occurrenceCount,
-  openOccurrence,
+  openOccurrences,
   parseProgressRowKey,
   progressRowKeys,
   type StoredProgress,
@@ -136,19 +136,21 @@
    * whether a due occurrence has to wait for others to end.
    */
   openDue(job: TrackedJob, wall: number, now: number): boolean {
-    const { spec } = job;
-    const tasks = taskCount(spec.steps);
-    while (
-      !isFinal(job.progress.phase) &&
-      job.progress.nextOccurrence < occurrenceCount(spec) &&
-      wall >= dueAt(spec, job.progress.nextOccurrence)
-    ) {
-      const { open } = job.progress;
-      if (open.size > 0 && (open.size + 1) * tasks > maxOpenTasks) return true;
-      job.progress = openOccurrence(job.progress, spec);
+    const { spec, progress } = job;
+    if (isFinal(progress.phase)) return false;
+    const { nextOccurrence, open } = progress;
+    const count = occurrenceCount(spec);
+    const isDue = (k: number) => k < count && wall >= dueAt(spec, k);
+    const maxOpen = Math.max(1, maxOpenTasks / taskCount(spec.steps));
+    let next = nextOccurrence;
+    while (isDue(next) && open.size + next - nextOccurrence + 1 <= maxOpen) {
+      next++;
+    }
+    if (next > nextOccurrence) {
+      job.progress = openOccurrences(progress, spec, next - nextOccurrence);
       this.#updatePhaseIndex(job, now);
     }
-    return false;
+    return isDue(next);
   }
 
   /**
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -9,10 +9,12 @@
  */
 import { ActorSystem } from "../actors/index.ts";
 import {
+  failJob,
   isFinal,
   placedTasks,
   progressKey,
   readySteps,
+  type Resources,
 } from "../batch/index.ts";
 import type { CommitFailure } from "../cluster/index.ts";
 import type { StoreRow, StoreRowChange, StoreRowKey } from "../store/index.ts";
@@ -33,6 +35,7 @@
 import { Placer } from "./placer.ts";
 import { PassTimer } from "./pass_timer.ts";
 import { RunTimes } from "./run_times.ts";
+import { findOversizedStep } from "./task_sizes.ts";
 
 /** Interval of the periodic work, in ms. */
 const tickPeriodMs = 100;
@@ -236,6 +239,7 @@
   #takeJobs(jobs: readonly TrackedJob[]): void {
     const { clock, log, shard } = this.deps;
     for (const job of jobs) {
+      this.#checkTaskSizes(job);
       this.#openDue(job, clock.wall(), clock.now());
       log.decision("job-taken", {
         job: job.spec.id,
@@ -249,6 +253,23 @@
     this.requestPass();
   }
 
+  /** Logs a job with a task that no host can run; fails it if that is for good. */
+  #checkTaskSizes(job: TrackedJob): void {
+    const { clock, log, shard } = this.deps;
+    if (isFinal(job.progress.phase)) return;
+    const oversized = findOversizedStep(job.spec, this.#knownHosts());
+    if (oversized === undefined) return;
+    const { kind, step } = oversized;
+    log.decision(`job-${kind}`, { job: job.spec.id, shard, ...step.demand });
+    if (kind === "no-host") return;
+    this.jobs.update(job, failJob(job.progress), clock.now());
+  }
+
+  /** Capacities of the hosts of all pools that have a registered endpoint. */
+  #knownHosts(): readonly Resources[] {
+    return this.deps.registry.all().map(({ capacity }) => capacity);
+  }
+
   /** Tracks the runs that an earlier owner may have started. */
   #adoptPlacements(): void {
     for (const job of this.jobs.byId.values()) {
@@ -281,11 +302,12 @@
     this.#supervisor.pass();
     this.#expiry.pass(now);
     for (const row of this.#reports.changedRows(now)) this.commits.put(row);
-    this.#demandReporter.report(
-      this.#activeJobs(),
-      this.#poolEndpoints(now),
-      this.#advisedSteps.requiredHosts,
-    );
+    this.#demandReporter.report({
+      jobs: this.#activeJobs(),
+      endpoints: this.#poolEndpoints(now),
+      knownHosts: this.#knownHosts(),
+      minHosts: this.#advisedSteps.requiredHosts,
+    });
     this.#renewLease();
     this.requestPass();
     return Promise.resolve(tickPeriodMs);
--- a/src/scheduler/unplaced_demands.ts
+++ b/src/scheduler/unplaced_demands.ts
@@ -4,6 +4,7 @@
  * pass in an overload would examine every endpoint for every waiting step.
  */
 import {
+  fitsInto,
   type JobSpec,
   reservedResources,
   type Resources,
@@ -20,12 +21,6 @@
     step.maxPerEndpoint <= 0 && step.maxUnavailable === undefined;
 }
 
-/** Returns whether `a` is at least as large as `b` in every resource. */
-function isAtLeast(a: Resources, b: Resources): boolean {
-  return a.cpuMillis >= b.cpuMillis && a.memoryMb >= b.memoryMb &&
-    a.gpus >= b.gpus;
-}
-
 /**
  * Unplaced demands of one pass. They stay valid until its end, because free
  * resources only shrink during a pass.
@@ -43,6 +38,6 @@
   /** Returns whether the step needs at least as much as an unplaced demand. */
   covers(step: StepSpec): boolean {
     const demand = reservedResources(step);
-    return this.#unplaced.some((each) => isAtLeast(demand, each));
+    return this.#unplaced.some((each) => fitsInto(each, demand));
   }
 }
--- a/test/capacity/host_demand_test.ts
+++ b/test/capacity/host_demand_test.ts
@@ -30,7 +30,13 @@
 /** Returns the hosts wanted for steps and for arriving work. */
 function hostsFor(steps: readonly StepSpec[], arrivingCpuMillis = 0): number {
   const jobs = steps.length === 0 ? [] : [openJob("job", steps)];
-  return computeHostDemand(jobs, [endpoint], arrivingCpuMillis, () => false);
+  return computeHostDemand({
+    jobs,
+    endpoints: [endpoint],
+    knownHosts: [endpoint.capacity],
+    arrivingCpuMillis,
+    isLate: () => false,
+  });
 }
 
 describe("the demand of a pool for hosts", () => {
@@ -49,6 +55,25 @@
     assert.equal(hostsFor([], 10_000), 5);
   });
 
+  // Guards against processes that run out of memory (Fault): a job with its sizes
+  // in another unit made the pool want tens of millions of hosts.
+  it("leaves out tasks that are larger than every known host", () => {
+    const sizes = [
+      { cpuMillis: 4_001, memoryMb: 100, gpus: 0 },
+      { cpuMillis: 100, memoryMb: 8_000 * 1_048_576, gpus: 0 },
+      { cpuMillis: 0, memoryMb: Number.MAX_SAFE_INTEGER, gpus: 0 },
+    ];
+    for (const demand of sizes) {
+      const step = { ...plainStep(32, []), demand, maxPerEndpoint: 1 };
+      assert.equal(hostsFor([step]), 2);
+    }
+  });
+
+  it("includes the largest tasks that fit", () => {
+    const demand = { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 };
+    assert.ok(hostsFor([{ ...plainStep(8, []), demand }]) >= 9);
+  });
+
   it("is two hosts without jobs", () => {
     assert.equal(hostsFor([]), 2);
   });
--- a/test/capacity/host_moves_test.ts
+++ b/test/capacity/host_moves_test.ts
@@ -80,6 +80,17 @@
       assert.deepEqual(moves, ["b>invoices"]);
     });
 
+    // Guards against processes that run out of memory (Fault): the plan had an
+    // entry for each wanted host, however many a pool's owner reports.
+    it("moves the hosts there are if a pool wants far more", () => {
+      const hosts = ["a", "b"].map((n) => host(n, "spare"));
+      const want = Number.MAX_SAFE_INTEGER;
+      const quotes = { want, offered: [], silent: [] };
+      const invoices = { want: 1, offered: [], silent: [] };
+      const moves = planned(hosts, { quotes, invoices });
+      assert.deepEqual(moves, ["a>quotes", "b>invoices"]);
+    });
+
     it("counts hosts that are already moving", () => {
       const hosts = [
         host("a", "quotes", { state: "moving" }),
