--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -3,7 +3,7 @@
  * clock, with models of the store, endpoints, hosts and callers, and an oracle
  * that checks the outcome.
  */
-import { CatalogHolder } from "../src/catalog/index.ts";
+import { type Catalog, CatalogHolder } from "../src/catalog/index.ts";
 import {
   type JobSpec,
   occurrenceCount,
@@ -11,7 +11,6 @@
   type StepSpec,
 } from "../src/batch/index.ts";
 import { EndpointRegistry } from "../src/endpoint/index.ts";
-import { Intake } from "../src/intake/index.ts";
 import { BatchService } from "../src/service/index.ts";
 import type { Store } from "../src/store/index.ts";
 import type { RequestedWave } from "../src/upkeep/index.ts";
@@ -51,10 +50,19 @@
   readonly process: ProcessClock;
   readonly store: Store;
   readonly orders: ModelOrders;
+  readonly catalog: CatalogHolder;
   readonly registry: EndpointRegistry;
   readonly service: BatchService;
 }
 
+/** The operator's first catalog. */
+const firstCatalog: Catalog = {
+  version: 1,
+  queues: poolNames.slice(0, -1).map(queueForPool),
+  pools: poolNames.map((name) => ({ name, standby: name === "spare" })),
+  maxBodyBytes: 100_000,
+};
+
 /**
  * A simulated fleet. A test submits jobs and starts disturbances, advances
  * the clock, and ends with `endDisturbances`, `advance` and `finish`.
@@ -80,6 +88,8 @@
   readonly #registrations: ModelRegistrations;
   readonly #hosts: ModelHosts;
   #bootCount = 0;
+  /** The operator's newest catalog. */
+  #catalog = firstCatalog;
   /** Share of start and stop orders that get no answer and take effect late. */
   lateShare = 0;
 
@@ -124,15 +134,7 @@
     const orders = new ModelOrders(process, this.#hosts.network);
     orders.lateShare = this.lateShare;
     const catalog = new CatalogHolder();
-    catalog.updateIfNewer({
-      version: 1,
-      queues: poolNames.slice(0, -1).map(queueForPool),
-      pools: poolNames.map((pool) => ({
-        name: pool,
-        standby: pool === "spare",
-      })),
-      maxBodyBytes: 100_000,
-    });
+    catalog.updateIfNewer(this.#catalog);
     const registry = new EndpointRegistry();
     const service = new BatchService({
       self: {
@@ -172,7 +174,7 @@
         this.oracle.violations.push(`CRASH of ${actor}: ${err}`);
       },
     });
-    const entry = { name, process, store, orders, registry, service };
+    const entry = { name, process, store, orders, catalog, registry, service };
     this.entries.set(name, entry);
     service.start();
   }
@@ -196,8 +198,9 @@
       steps: spec.steps,
       occurrences: occurrenceCount(spec),
     });
-    const answer = await this.#intake(entry).submit(
-      this.#intakeRequest(spec, 3_000),
+    const { service, catalog } = this.#entry(entry);
+    const answer = await service.intake.submit(
+      this.#intakeRequest(catalog, spec, 3_000),
       spec,
     );
     const notRecorded = answer.err &&
@@ -213,12 +216,29 @@
     const spec = this.jobSpecs.get(id);
     if (spec === undefined) return;
     this.oracle.cancellationSent(id);
-    const answer = await this.#intake(entry).cancel(
-      this.#intakeRequest(spec, 3_000),
+    const { service, catalog } = this.#entry(entry);
+    const answer = await service.intake.cancel(
+      this.#intakeRequest(catalog, spec, 3_000),
     );
     if (answer.ok && answer.val) this.oracle.cancellationConfirmed(id);
   }
 
+  /**
+   * Sends a queue to another pool by a new version of the catalog, which is at
+   * once in force at all entries but those that are named.
+   */
+  sendQueue(queue: string, pool: string, except: readonly string[] = []): void {
+    const queues = this.#catalog.queues.map((each) =>
+      each.name === queue ? { ...each, pool } : each
+    );
+    const version = this.#catalog.version + 1;
+    this.#catalog = { ...this.#catalog, version, queues };
+    for (const entry of this.entries.values()) {
+      if (except.includes(entry.name)) continue;
+      entry.catalog.updateIfNewer(this.#catalog);
+    }
+  }
+
   /** Crashes a host; it boots again with a new endpoint after `downMs`. */
   crashHost(index: number, downMs: number): void {
     this.#hosts.crash(index, downMs);
@@ -287,11 +307,11 @@
 
   /** Queries the phase of every job and returns all violations of the run. */
   async finish(): Promise<readonly string[]> {
-    const entry = [...this.entries.keys()][0];
+    const [{ service, catalog }] = [...this.entries.values()];
     const phases = new Map<string, string | undefined>();
     const queries = [...this.jobSpecs.values()].map(async (spec) => {
-      const phase = await this.#intake(entry).jobPhase(
-        this.#intakeRequest(spec, 5_000),
+      const phase = await service.intake.jobPhase(
+        this.#intakeRequest(catalog, spec, 5_000),
       );
       phases.set(spec.id, phase.ok ? phase.val : undefined);
     });
@@ -301,15 +321,16 @@
     return this.oracle.violations;
   }
 
-  #intakeRequest(spec: JobSpec, timeoutMs: number) {
-    const queue = queueForPool(spec.queue.replace("-queue", ""));
+  #intakeRequest(catalog: CatalogHolder, spec: JobSpec, timeoutMs: number) {
+    const queue = catalog.current?.queues.find((q) => q.name === spec.queue);
+    if (queue === undefined) throw new Error(`no queue ${spec.queue}`);
     return { queue, job: spec.id, deadline: this.clock.now() + timeoutMs };
   }
 
-  #intake(entry: string): Intake {
-    const found = this.entries.get(entry);
-    if (found === undefined) throw new Error(`entry ${entry} does not exist`);
-    return found.service.intake;
+  #entry(name: string): ModelEntry {
+    const found = this.entries.get(name);
+    if (found === undefined) throw new Error(`entry ${name} does not exist`);
+    return found;
   }
 
   /**
--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -1,13 +1,15 @@
 /**
  * Store rows of batch jobs.
  *
- * The table `inbox-SHARD` holds accepted jobs and cancellation requests. Any
- * entry may write to it, each row once, so it is spread over partitions. The
+ * The table `inbox-SHARD` holds accepted jobs, forwards to jobs in other inboxes,
+ * and cancellation requests. Any entry may write to it, each row once, so it is
+ * spread over partitions. The
  * tables `progress`, `counts` and `learned` are written only by the shard's
  * owner, in the partition named after the shard.
  */
 import * as v from "valibot";
 import {
+  parseJson,
   partitionOf,
   type RangeQuery,
   type StoreRowKey,
@@ -38,6 +40,18 @@
     : undefined;
 }
 
+const forwardSchema = v.object({ forwardedTo: v.string() });
+
+/** Value of a job's inbox row that says in which pool's inbox the job is. */
+export function encodeForward(pool: string): string {
+  return JSON.stringify({ forwardedTo: pool });
+}
+
+/** The pool that an inbox row forwards to; undefined if the row is a job. */
+export function forwardedTo(value: string): string | undefined {
+  return parseJson(forwardSchema, value)?.forwardedTo;
+}
+
 /** Key of a job's progress. */
 export function progressKey(shard: string, job: string): StoreRowKey {
   return { table: "progress", partition: shard, key: job };
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -11,6 +11,7 @@
 import {
   cancelKey,
   decodePhase,
+  forwardedTo,
   inboxKey,
   type JobPhase,
   type JobSpec,
@@ -25,12 +26,15 @@
 import {
   maxRowBytes,
   parseJson,
-  type RowPut,
   type Store,
   type StoreBreaker,
   type StoreFailure,
+  type StoreRow,
+  type StoreRowKey,
 } from "../store/index.ts";
+import { queueId, QueuePools } from "./queue_pools.ts";
 import { RecentSubmissions } from "./recent_submissions.ts";
+import { Submission } from "./submission.ts";
 
 /** Pause before a failed store call is retried, in ms. */
 const retryPauseMs = 40;
@@ -38,6 +42,9 @@
 /** Time during which a submission that the store refuses is retried, in ms. */
 const refusedRetryMs = 120;
 
+/** Most forwards that are followed from a queue's home to a job. */
+const maxForwards = 8;
+
 /** Time before the caller's deadline that is reserved for the answer, in ms. */
 const answerReserveMs = 150;
 
@@ -66,14 +73,23 @@
   message: "the store does not answer",
 };
 
-/** The row of a submitted job with this value. */
-function inboxRow({ queue, job }: IntakeRequest, value: string): RowPut {
-  return { ...inboxKey(queue.pool, job), value };
+/** Where a job is stored, or would be. */
+interface JobLocation {
+  /** Pool whose inbox holds the job. */
+  readonly pool: string;
+  /** Version of its row there; 0 if there is none. */
+  readonly version: number;
+}
+
+/** Waiting jobs of a queue in the value of a row of counts. */
+function waitingIn(counts: string | undefined, queue: string): number {
+  return parseJson(waitingCountsSchema, counts ?? "")?.[queue] ?? 0;
 }
 
 /** Serves the callers' requests about jobs from the store. */
 export class Intake {
   readonly #recent: RecentSubmissions;
+  readonly #pools: QueuePools;
 
   constructor(
     private readonly store: Store,
@@ -82,6 +98,12 @@
     private readonly breaker: Pick<StoreBreaker, "isOpen">,
   ) {
     this.#recent = new RecentSubmissions(clock);
+    this.#pools = new QueuePools(store);
+  }
+
+  /** Reads ahead what the first requests of these queues need. */
+  prepare(queues: readonly Queue[]): Promise<void> {
+    return this.#pools.prepare(queues);
   }
 
   /**
@@ -101,46 +123,44 @@
       const message = `the job takes ${bytes} bytes; at most ${maxRowBytes}`;
       return fail(codes.jobTooLarge, message);
     }
-    const job = `${req.queue.pool}\n${spec.id}`;
-    this.#recent.begin(job);
+    const identity = `${queueId(req.queue)}\n${spec.id}`;
+    this.#recent.begin(identity);
     try {
-      return await this.#store(req, inboxRow(req, value), job);
+      return await this.#store(req, value, identity);
     } finally {
-      this.#recent.end(job);
+      this.#recent.end(identity);
     }
   }
 
-  /** Stores a job's row; `job` identifies it among the recent submissions. */
+  /**
+   * Stores a job's row with this value; `identity` tells the job from others
+   * among the recent submissions.
+   */
   async #store(
-    req: IntakeRequest,
-    row: RowPut,
-    job: string,
+    { queue, job, deadline }: IntakeRequest,
+    value: string,
+    identity: string,
   ): Promise<Result<"accepted", Failure>> {
     const recent = this.#recent;
-    if (recent.known(job) === "stored") return Ok("accepted");
+    if (recent.known(identity) === "stored") return Ok("accepted");
     if (this.breaker.isOpen) {
-      const mayBeStored = recent.known(job) === "unknown";
+      const mayBeStored = recent.known(identity) === "unknown";
       return toFailure(storeSilent, mayBeStored);
     }
-    const { table, partition, key } = row;
-    const tx = {
-      checks: [{ table, partition, key, version: 0 }],
-      puts: [row],
-      removes: [],
-    };
+    const deps = { store: this.store, pools: this.#pools };
+    const submission = new Submission(deps, queue, job, value);
     const startedAt = this.clock.now();
     for (;;) {
-      const outcome = await this.store.commit(tx);
-      // On a conflict the row exists already: it holds the same job.
-      if (outcome.ok) recent.recordStored(job);
-      else if (outcome.val.kind !== "refused") recent.recordUnknown(job);
-      const known = recent.known(job);
+      const outcome = await submission.attempt();
+      if (outcome.ok) recent.recordStored(identity);
+      else if (outcome.val.kind !== "refused") recent.recordUnknown(identity);
+      const known = recent.known(identity);
       if (outcome.ok || known === "stored") return Ok("accepted");
       const mayBeStored = known === "unknown";
       const now = this.clock.now();
       const giveUpAt = mayBeStored
-        ? req.deadline - answerReserveMs
-        : Math.min(req.deadline - answerReserveMs, startedAt + refusedRetryMs);
+        ? deadline - answerReserveMs
+        : Math.min(deadline - answerReserveMs, startedAt + refusedRetryMs);
       if (now >= giveUpAt) return toFailure(outcome.val, mayBeStored);
       await delay(this.clock, retryPauseMs);
     }
@@ -155,33 +175,39 @@
     req: IntakeRequest,
   ): Promise<Result<JobPhase | undefined, Failure>> {
     const { pool } = req.queue;
-    const progress = await this.#read(progressKey(pool, req.job), req.deadline);
-    if (progress.err) return progress;
-    const phase = decodePhase(progress.val ?? "");
-    if (phase !== undefined) return Ok(phase);
-    const accepted = await this.#read(inboxKey(pool, req.job), req.deadline);
-    return accepted.map((value) => value === undefined ? undefined : "queued");
+    const phase = await this.#storedPhase(pool, req);
+    if (phase.err || phase.val !== undefined) return phase;
+    const found = await this.#find(req);
+    if (found.err) return found;
+    if (found.val.version === 0) return Ok(undefined);
+    if (found.val.pool === pool) return Ok("queued");
+    const elsewhere = await this.#storedPhase(found.val.pool, req);
+    return elsewhere.map((each) => each ?? "queued");
   }
 
   /**
-   * Records the cancellation of a job; false when no such job exists. Fails
-   * with `recordUnknown` when no attempt is confirmed before the deadline.
+   * Records the cancellation of a job; false when no such job exists. Fails with
+   * `recordUnknown` when no attempt is confirmed before the deadline.
    */
   async cancel(req: IntakeRequest): Promise<Result<boolean, Failure>> {
-    const key = inboxKey(req.queue.pool, req.job);
-    const cancelRow = cancelKey(req.queue.pool, req.job);
+    const unknown = fail(
+      codes.recordUnknown,
+      "the cancellation may be recorded",
+    );
     for (;;) {
-      const found = await this.store.range(singleKeyRange(key));
-      if (found.ok && found.val.rows.length === 0) return Ok(false);
-      const outcome = found.err ? found : await this.store.commit({
-        checks: [{ ...key, version: found.val.rows[0].version }],
-        puts: [{ ...cancelRow, value: "{}" }],
+      const found = await this.#find(req);
+      if (found.err) return unknown;
+      const { pool, version } = found.val;
+      if (version === 0) return Ok(false);
+      const outcome = await this.store.commit({
+        checks: [{ ...inboxKey(pool, req.job), version }],
+        puts: [{ ...cancelKey(pool, req.job), value: "{}" }],
         removes: [],
       });
-      if (outcome.ok && outcome.val.kind === "committed") return Ok(true);
-      if (this.clock.now() >= req.deadline - answerReserveMs) {
-        return fail(codes.recordUnknown, "the cancellation may be recorded");
+      if (outcome.ok && outcome.val.kind === "committed") {
+        return Ok(version !== 0);
       }
+      if (this.clock.now() >= req.deadline - answerReserveMs) return unknown;
       await delay(this.clock, retryPauseMs);
     }
   }
@@ -194,23 +220,72 @@
     queue: Queue,
     deadline: number,
   ): Promise<Result<number, Failure>> {
-    const counts = await this.#read(waitingCountsKey(queue.pool), deadline);
-    return counts.map((value) =>
-      value === undefined
-        ? 0
-        : parseJson(waitingCountsSchema, value)?.[queue.name] ?? 0
+    const pools = await this.#untilRead(
+      () => this.#pools.list(queue),
+      deadline,
+    );
+    if (pools.err) return pools;
+    const counts = await Promise.all(
+      pools.val.map((pool) => this.#read(waitingCountsKey(pool), deadline)),
+    );
+    let waiting = 0;
+    for (const row of counts) {
+      if (row.err) return row;
+      waiting += waitingIn(row.val?.value, queue.name);
+    }
+    return Ok(waiting);
+  }
+
+  /** The phase in a pool's progress row of a job; undefined without one. */
+  async #storedPhase(
+    pool: string,
+    { job, deadline }: IntakeRequest,
+  ): Promise<Result<JobPhase | undefined, Failure>> {
+    const progress = await this.#read(progressKey(pool, job), deadline);
+    return progress.map((row) => decodePhase(row?.value ?? ""));
+  }
+
+  /** Finds where a job is stored, from its queue's home on. */
+  async #find(req: IntakeRequest): Promise<Result<JobLocation, Failure>> {
+    const { queue, job, deadline } = req;
+    const home = await this.#untilRead(
+      () => this.#pools.home(queue),
+      deadline,
     );
+    if (home.err) return home;
+    let pool = home.val;
+    for (let forwards = 0; forwards < maxForwards; forwards++) {
+      const row = await this.#read(inboxKey(pool, job), deadline);
+      if (row.err) return row;
+      const next = forwardedTo(row.val?.value ?? "");
+      if (next === undefined) {
+        return Ok({ pool, version: row.val?.version ?? 0 });
+      }
+      pool = next;
+    }
+    return fail(codes.recordUnknown, "the job is forwarded too often");
   }
 
+  /** Reads a row until the deadline; undefined if there is none. */
   async #read(
-    key: Parameters<typeof singleKeyRange>[0],
+    key: StoreRowKey,
+    deadline: number,
+  ): Promise<Result<StoreRow | undefined, Failure>> {
+    const query = singleKeyRange(key);
+    const read = await this.#untilRead(() => this.store.range(query), deadline);
+    return read.map(({ rows }): StoreRow | undefined => rows[0]);
+  }
+
+  /** Repeats a read until it succeeds or the deadline is near. */
+  async #untilRead<T>(
+    read: () => Promise<Result<T, StoreFailure>>,
     deadline: number,
-  ): Promise<Result<string | undefined, Failure>> {
+  ): Promise<Result<T, Failure>> {
     for (;;) {
-      const found = await this.store.range(singleKeyRange(key));
-      if (found.ok) return Ok(found.val.rows[0]?.value);
+      const outcome = await read();
+      if (outcome.ok) return outcome;
       if (this.clock.now() >= deadline - answerReserveMs) {
-        return toFailure(found.val, false);
+        return toFailure(outcome.val, false);
       }
       await delay(this.clock, retryPauseMs);
     }
--- a/src/scheduler/job_expiry.ts
+++ b/src/scheduler/job_expiry.ts
@@ -16,6 +16,7 @@
 } from "../store/index.ts";
 import type { DecisionLog } from "../telemetry/index.ts";
 import type { JobRegistry, TrackedJob } from "./job_registry.ts";
+import { removalBatches } from "./removal_batches.ts";
 
 /** Time for which a final job can still be queried, in ms. */
 const finalJobRetentionMs = 150_000;
@@ -42,15 +43,6 @@
   readonly removeProgress: (key: string) => void;
 }
 
-/** Splits a list into lists of at most `size` items. */
-function chunks<T>(items: readonly T[], size: number): readonly T[][] {
-  const count = Math.ceil(items.length / size);
-  return Array.from(
-    { length: count },
-    (_, i) => items.slice(i * size, (i + 1) * size),
-  );
-}
-
 /** The jobs whose row in the inbox is the one that was read. */
 function storedJobs(
   jobs: readonly TrackedJob[],
@@ -82,16 +74,12 @@
 
   async #remove(expired: readonly TrackedJob[]): Promise<void> {
     const { shard, clock } = this.deps;
-    const byPartition = new Map<string, TrackedJob[]>();
-    for (const job of expired) {
-      const { partition } = inboxKey(shard, job.spec.id);
-      byPartition.set(partition, [...byPartition.get(partition) ?? [], job]);
-    }
-    for (const jobs of byPartition.values()) {
-      for (const some of chunks(jobs, maxJobsPerRemoval)) {
-        await this.#removeFromInbox(some);
-      }
-    }
+    const batches = removalBatches(
+      expired,
+      ({ spec }) => inboxKey(shard, spec.id).partition,
+      maxJobsPerRemoval,
+    );
+    for (const jobs of batches) await this.#removeFromInbox(jobs);
     this.#removedAt = clock.now();
     this.#isRemoving = false;
   }
--- a/src/scheduler/job_registry.ts
+++ b/src/scheduler/job_registry.ts
@@ -102,11 +102,12 @@
   ): readonly TrackedJob[] {
     const changedJobs = new Set<TrackedJob>();
     for (const change of changes) {
+      const cancelledId = jobOfCancelKey(change.row.key);
       if (change.kind === "removed") {
         this.#forgotten.delete(change.row.key);
+        this.#earlyCancellations.delete(cancelledId ?? "");
         continue;
       }
-      const cancelledId = jobOfCancelKey(change.row.key);
       const job = cancelledId === undefined
         ? this.#accept(change.row, now)
         : this.#cancel(cancelledId, now);
@@ -228,6 +229,7 @@
     for (const id of this.#forgotten) {
       if (!listed.has(id)) this.#forgotten.delete(id);
     }
+    this.#earlyCancellations.clear();
     return this.applyInbox(rows.map((row) => ({ kind: "put", row })), now);
   }
 
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -9,7 +9,6 @@
  */
 import { ActorSystem } from "../actors/index.ts";
 import {
-  failJob,
   isFinal,
   placedTasks,
   progressKey,
@@ -25,7 +24,9 @@
 import { CommitQueue } from "./commit_queue.ts";
 import { EndpointDriver } from "./endpoint_driver.ts";
 import { InboxFollower } from "./inbox_follower.ts";
+import { InboxMarks } from "./inbox_marks.ts";
 import { JobExpiry } from "./job_expiry.ts";
+import { JobOpener } from "./job_opener.ts";
 import { JobRegistry, type TrackedJob } from "./job_registry.ts";
 import { createLateFilter } from "./late_filter.ts";
 import { toPoolEndpoint } from "./pool_endpoint.ts";
@@ -35,7 +36,6 @@
 import { Placer } from "./placer.ts";
 import { PassTimer } from "./pass_timer.ts";
 import { RunTimes } from "./run_times.ts";
-import { findOversizedStep } from "./task_sizes.ts";
 
 /** Interval of the periodic work, in ms. */
 const tickPeriodMs = 100;
@@ -59,6 +59,8 @@
   readonly #recorder: RunRecorder;
   readonly #actors: ActorSystem;
   readonly #inbox: InboxFollower;
+  readonly #marks: InboxMarks;
+  readonly #opener: JobOpener;
   #unsubscribe: () => void = () => {};
   readonly #passTimer: PassTimer;
   readonly #demandReporter: DemandReporter;
@@ -67,8 +69,6 @@
   readonly #reports: ShardReports;
   readonly #advisedSteps: AdvisedSteps;
   #isStopped = false;
-  /** Jobs of which a due occurrence has to wait for others to end. */
-  readonly #heldBack = new WeakSet<TrackedJob>();
 
   constructor(private readonly deps: ShardDependencies) {
     const { shard, clock, lease } = deps;
@@ -155,6 +155,15 @@
       whenCommitted: (action) => this.commits.whenCommitted(action),
       removeProgress: (key) => this.commits.remove(progressKey(shard, key)),
     });
+    this.#opener = new JobOpener({
+      ...deps,
+      jobs: this.jobs,
+      knownHosts: () => this.#knownHosts(),
+    });
+    this.#marks = new InboxMarks({
+      ...deps,
+      hasJob: (id) => this.jobs.byId.has(id),
+    });
     this.#inbox = new InboxFollower(deps, {
       reset: (rows) => this.#resetInbox(rows),
       changed: (changes) => this.#applyInbox(changes),
@@ -227,20 +236,24 @@
    * dropped its history.
    */
   #resetInbox(rows: readonly StoreRow[]): void {
-    this.#takeJobs(this.jobs.resetInbox(rows, this.deps.clock.now()));
+    const now = this.deps.clock.now();
+    this.#marks.reset(rows, now);
+    this.#takeJobs(this.jobs.resetInbox(rows, now));
   }
 
   /** Handles changes of the inbox: new and cancelled jobs. */
   #applyInbox(changes: readonly StoreRowChange[]): void {
-    this.#takeJobs(this.jobs.applyInbox(changes, this.deps.clock.now()));
+    const now = this.deps.clock.now();
+    this.#marks.apply(changes, now);
+    this.#takeJobs(this.jobs.applyInbox(changes, now));
   }
 
   /** Handles jobs that are new or cancelled. */
   #takeJobs(jobs: readonly TrackedJob[]): void {
-    const { clock, log, shard } = this.deps;
+    const { log, shard } = this.deps;
     for (const job of jobs) {
-      this.#checkTaskSizes(job);
-      this.#openDue(job, clock.wall(), clock.now());
+      this.#opener.checkTaskSizes(job);
+      this.#opener.openDue(job);
       log.decision("job-taken", {
         job: job.spec.id,
         shard,
@@ -253,18 +266,6 @@
     this.requestPass();
   }
 
-  /** Logs a job with a task that no host can run; fails it if that is for good. */
-  #checkTaskSizes(job: TrackedJob): void {
-    const { clock, log, shard } = this.deps;
-    if (isFinal(job.progress.phase)) return;
-    const oversized = findOversizedStep(job.spec, this.#knownHosts());
-    if (oversized === undefined) return;
-    const { kind, step } = oversized;
-    log.decision(`job-${kind}`, { job: job.spec.id, shard, ...step.demand });
-    if (kind === "no-host") return;
-    this.jobs.update(job, failJob(job.progress), clock.now());
-  }
-
   /** Capacities of the hosts of all pools that have a registered endpoint. */
   #knownHosts(): readonly Resources[] {
     return this.deps.registry.all().map(({ capacity }) => capacity);
@@ -292,15 +293,15 @@
   #tick(): Promise<number> {
     const { clock } = this.deps;
     const now = clock.now();
-    const wall = clock.wall();
     for (const id of this.jobs.active) {
       const job = this.jobs.byId.get(id);
-      if (job?.spec.schedule !== undefined) this.#openDue(job, wall, now);
+      if (job?.spec.schedule !== undefined) this.#opener.openDue(job);
     }
     this.#removeObsoleteRows();
     this.driver.syncWithRegistry();
     this.#supervisor.pass();
     this.#expiry.pass(now);
+    this.#marks.pass(now);
     for (const row of this.#reports.changedRows(now)) this.commits.put(row);
     this.#demandReporter.report({
       jobs: this.#activeJobs(),
@@ -313,23 +314,6 @@
     return Promise.resolve(tickPeriodMs);
   }
 
-  /**
-   * Opens the due occurrences of a job. Logs the first time that one has to
-   * wait for others to end.
-   */
-  #openDue(job: TrackedJob, wall: number, now: number): void {
-    const isHeldBack = this.jobs.openDue(job, wall, now);
-    if (!isHeldBack) this.#heldBack.delete(job);
-    if (!isHeldBack || this.#heldBack.has(job)) return;
-    this.#heldBack.add(job);
-    this.deps.log.decision("occurrence-held-back", {
-      shard: this.deps.shard,
-      job: job.spec.id,
-      open: job.progress.open.size,
-      next: job.progress.nextOccurrence,
-    });
-  }
-
   /** Removes rows that are obsolete once the present state is committed. */
   #removeObsoleteRows(): void {
     const keys = this.jobs.takeObsoleteRows();
--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -104,6 +104,9 @@
 
   /** Starts following tables and claiming shards. */
   start(): void {
+    const { catalog } = this.deps;
+    catalog.onChange(({ queues }) => this.intake.prepare(queues));
+    if (catalog.current) this.intake.prepare(catalog.current.queues);
     for (const table of this.deps.followed) {
       this.#actors.loop(table.name, () => this.#follow(table));
     }
--- a/src/store/index.ts
+++ b/src/store/index.ts
@@ -1,6 +1,7 @@
 /** Interface to the transactional row store and tools for its users. */
 export * from "./store.ts";
 export { StoreBreaker } from "./breaker.ts";
+export { chunks } from "./chunks.ts";
 export { parseJson } from "./json_row.ts";
 export { partitionOf, partitionsOf } from "./partitions.ts";
 export {
--- a/test/intake/intake_test.ts
+++ b/test/intake/intake_test.ts
@@ -156,6 +156,8 @@
   // because an earlier request for it had stored it or could still do so.
   describe("that repeats an earlier one for the same job", () => {
     it("waits for the earlier one, which is in flight", async () => {
+      // The home of the queue is read first, once.
+      await submit(9);
       model.delayFactor = 100;
       const first = submit(1);
       for (let ms = 0; ms < 250; ms += 10) await clock.advance(10);
