--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -186,7 +186,8 @@
   }
 
   /**
-   * Records the cancellation of a job; false when no such job exists. Fails with
+   * Records the cancellation of a job; false when no such job exists. The record
+   * also cancels a job whose submission is stored later. Fails with
    * `recordUnknown` when no attempt is confirmed before the deadline.
    */
   async cancel(req: IntakeRequest): Promise<Result<boolean, Failure>> {
@@ -198,7 +199,6 @@
       const found = await this.#find(req);
       if (found.err) return unknown;
       const { pool, version } = found.val;
-      if (version === 0) return Ok(false);
       const outcome = await this.store.commit({
         checks: [{ ...inboxKey(pool, req.job), version }],
         puts: [{ ...cancelKey(pool, req.job), value: "{}" }],
