Reckon with the longest lease where an endpoint may have restarted (TWICE)

Operators saw two runs of a task at once: the first was ordered by one owner and lapsed 10 s after its start, the longest lease there is; the second by its successor.

Cause: an endpoint that is back under its id carries out orders that were meant for its former life. Their lease is by the former clock, so it is shortened only to the maximum of 10 s, while the owner and its successor reckon with 5.2 s (8.4 s after a silent owner).

An owner now keeps a second bound, 12 s after the last order, and takes it where the registry's last row names another life, where an order was answered with an impossible clock, and after a takeover for endpoints that restarted just before. A hold after such an answer acknowledges no ends by number.

The model's endpoints can fall silent before they restart, and be cut off from the entries alone. Ruled out: the long bound for every silent endpoint, as a plain crash would then leave lasting tasks for longer than LOST allows.

The clock and the bounds of an endpoint's lease stand in a module of their own, and so do the bounds at a takeover; the session's tests call them there.

--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -37,9 +37,9 @@
     labels: ["a", `r${index % 8}`],
     draining: false,
     host: "",
-  }, 0);
+  });
   session.fencedAt = -Infinity;
-  session.recordClock(0, 0);
+  session.lease.recordClock(0, 0);
   if (isFull) addRuns(session, index);
   return session;
 }
--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -244,9 +244,12 @@
     this.#hosts.crash(index, downMs);
   }
 
-  /** Restarts an endpoint under its id; it is down for `downMs`. */
-  restartEndpoint(index: number, downMs: number): void {
-    this.#hosts.restart(index, downMs);
+  /**
+   * Restarts an endpoint under its id; it is down for `downMs`. With `isDark`
+   * its open connections fall silent instead of breaking.
+   */
+  restartEndpoint(index: number, downMs: number, isDark = false): void {
+    this.#hosts.restart(index, downMs, isDark);
   }
 
   /**
@@ -257,6 +260,11 @@
     this.#hosts.isolate(index, downMs);
   }
 
+  /** Disconnects the endpoint of a host from all entries for `downMs`. */
+  disconnectHost(index: number, downMs: number): void {
+    this.#hosts.disconnect(index, downMs);
+  }
+
   /** Removes the registration of an endpoint for `ms`, though it lives. */
   unlistEndpoint(index: number, ms: number): void {
     this.#hosts.unlist(index, ms);
--- a/sim/model_endpoint.ts
+++ b/sim/model_endpoint.ts
@@ -88,6 +88,8 @@
   isUp = true;
   /** Whether the network to it is cut; its tasks keep running. */
   isIsolated = false;
+  /** Whether only the network between it and the entries is cut. */
+  isDisconnected = false;
 
   constructor(
     readonly info: TaskEndpoint,
@@ -102,6 +104,11 @@
     return Math.floor((clock.now() - this.#bootedAt) * (1 - clockDrift));
   }
 
+  /** Whether orders reach it, and answers their sender. */
+  get isReachable(): boolean {
+    return !this.isIsolated && !this.isDisconnected;
+  }
+
   /** Names of the long-running tasks that are available here. */
   get availableTasks(): readonly string[] {
     const available = [...this.runs.values()].filter((r) =>
--- a/sim/model_hosts.ts
+++ b/sim/model_hosts.ts
@@ -82,10 +82,12 @@
 
   /**
    * Crashes an endpoint, which starts again under its id and at its address
-   * after `downMs`. Its row changes only some time after that.
+   * after `downMs`. Its row changes only some time after that. Without
+   * `isDark`, open connections break at once; else they fall silent.
    */
-  restart(index: number, downMs: number): void {
+  restart(index: number, downMs: number, isDark = false): void {
     const host = this.#at(index);
+    if (isDark && host.endpoint !== undefined) host.endpoint.isIsolated = true;
     const endpoint = this.#takeDown(host, "down");
     if (endpoint === undefined) return;
     this.environment.clock.after(downMs, () => {
@@ -111,6 +113,19 @@
     });
   }
 
+  /**
+   * Disconnects the endpoint of a host from the entries for `downMs`. It still
+   * reaches the store, so its row stays.
+   */
+  disconnect(index: number, downMs: number): void {
+    const { endpoint } = this.#at(index);
+    if (endpoint === undefined) return;
+    endpoint.isDisconnected = true;
+    this.environment.clock.after(downMs, () => {
+      endpoint.isDisconnected = false;
+    });
+  }
+
   /** Removes the row of an endpoint for `ms`, though it lives. */
   unlist(index: number, ms: number): void {
     const host = this.#at(index);
--- a/sim/model_orders.ts
+++ b/sim/model_orders.ts
@@ -113,7 +113,7 @@
     this.#isWaiting = endpoint === undefined;
     if (endpoint === undefined) {
       network.awaitBoot(to.address, () => this.#deliver());
-    } else if (endpoint.isIsolated) return;
+    } else if (!endpoint.isReachable) return;
     else if (endpoint.info.id !== to.id) {
       this.#answer(endpoint, rejected("other-life"));
     } else {
@@ -124,7 +124,7 @@
   /** Sends the answer back, also if the endpoint crashes meanwhile. */
   #answer(endpoint: ModelEndpoint, outcome: T | FailedCall | undefined): void {
     this.network.clock.after(this.network.drawDelayMs(), () => {
-      if (!endpoint.isIsolated) this.#settle(outcome ?? noAnswer);
+      if (endpoint.isReachable) this.#settle(outcome ?? noAnswer);
     });
   }
 
--- a/src/scheduler/driver_dependencies.ts
+++ b/src/scheduler/driver_dependencies.ts
@@ -17,12 +17,11 @@
 import type { DecisionFields, DecisionLog } from "../telemetry/index.ts";
 import {
   answerDeliveryMs,
-  type EndpointSession,
   maxClockDrift,
-  type Run,
-  type RunPhase,
+  maxUnsettledOrderMs,
   taskLeaseMs,
-} from "./endpoint_session.ts";
+} from "./endpoint_lease.ts";
+import type { EndpointSession, Run, RunPhase } from "./endpoint_session.ts";
 
 /**
  * Age of the last successful commit from which an owner no longer extends the
@@ -38,8 +37,31 @@
  */
 export function maxInheritedLeaseMs(previous: PreviousOwner): number {
   const lease = taskLeaseMs * (1 + maxClockDrift) + answerDeliveryMs;
-  if (previous === "ended") return lease;
-  return lease + maxCommitAgeForHoldMs - memberLeaseMs;
+  return lease + silentOwnerMs(previous);
+}
+
+/**
+ * The same for an endpoint that may have restarted without the earlier owner
+ * having noticed.
+ */
+export function longestInheritedLeaseMs(previous: PreviousOwner): number {
+  return maxUnsettledOrderMs + silentOwnerMs(previous);
+}
+
+/** Time after a takeover for which the earlier owner may send orders, in ms. */
+function silentOwnerMs(previous: PreviousOwner): number {
+  return previous === "ended" ? 0 : maxCommitAgeForHoldMs - memberLeaseMs;
+}
+
+/** The end of an endpoint's leases as far as its owner can tell. */
+export function leaseEndsBy(
+  { registry }: Pick<DriverDependencies, "registry">,
+  session: EndpointSession,
+): number {
+  const { id, life } = session.endpoint;
+  const { bound, hasOtherClock } = session.lease;
+  const mayHaveRestarted = hasOtherClock || registry.namesAnotherLife(id, life);
+  return mayHaveRestarted ? bound.longestEndsBy : bound.endsBy;
 }
 
 /** Dependencies and callbacks of an `EndpointDriver` and its helpers. */
--- a/src/scheduler/ended_incarnations.ts
+++ b/src/scheduler/ended_incarnations.ts
@@ -1,13 +1,5 @@
 /** Incarnations of endpoints whose session has ended although they are listed. */
 
-/**
- * Maximum time for which a run can be in progress at an endpoint because of an
- * order that was in flight when it restarted, in ms: the delivery of the order,
- * and the longest lease that an endpoint grants. The order asks for a lease by
- * the clock of the earlier incarnation, so that only this maximum limits it.
- */
-export const maxUnsettledOrderMs = 12_000;
-
 /**
  * Time for which an incarnation whose session has ended gets no new one, in ms.
  * Meanwhile the registration may still name it.
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -18,21 +18,19 @@
 import {
   type DriverDependencies,
   logRunDecision,
-  maxInheritedLeaseMs,
   type SessionControl,
   setPhase,
 } from "./driver_dependencies.ts";
 import { EndpointHolds } from "./endpoint_holds.ts";
 import {
-  EndpointSession,
-  type Run,
-  type RunPhase,
-} from "./endpoint_session.ts";
-import {
-  EndedIncarnations,
+  latestBound,
+  type LeaseBound,
   maxUnsettledOrderMs,
-} from "./ended_incarnations.ts";
+} from "./endpoint_lease.ts";
+import { createRun, EndpointSession, type Run } from "./endpoint_session.ts";
+import { EndedIncarnations } from "./ended_incarnations.ts";
 import { IncarnationCheck } from "./incarnation_check.ts";
+import { InheritedLeases } from "./inherited_leases.ts";
 import { type OrphanRun, OrphanRuns } from "./orphan_runs.ts";
 import { RunIndex } from "./run_index.ts";
 import { RunOrders } from "./run_orders.ts";
@@ -55,8 +53,7 @@
   readonly #runIndex = new RunIndex();
   readonly #holds: EndpointHolds;
   readonly #orphans = new OrphanRuns();
-  /** Time at which all leases of earlier owners have expired. */
-  readonly #inheritedLeasesEndBy: number;
+  readonly #inherited: InheritedLeases;
   readonly #incarnations: IncarnationCheck;
   readonly #ended = new EndedIncarnations();
   #isStopped = false;
@@ -65,8 +62,7 @@
     this.runOrders = new RunOrders(deps, this);
     this.#holds = new EndpointHolds(deps, this, this.runOrders);
     this.#incarnations = new IncarnationCheck(deps);
-    this.#inheritedLeasesEndBy = deps.clock.now() +
-      maxInheritedLeaseMs(deps.previous);
+    this.#inherited = new InheritedLeases(deps);
   }
 
   get isStopped(): boolean {
@@ -92,9 +88,13 @@
   /** Tracks a run that an earlier owner may have started. */
   adoptRun(spec: JobSpec, ref: TaskRef, placement: Placement): void {
     this.#orphans.add({
-      run: this.#createRun(spec, ref, placement.run, "doubtful", ""),
+      run: createRun(spec, ref, this.deps.clock.now(), {
+        run: placement.run,
+        phase: "doubtful",
+      }),
       endpoint: placement.endpoint,
-      leaseEndsBy: this.#inheritedLeasesEndBy,
+      life: placement.life,
+      bound: this.#inherited.bound,
     });
   }
 
@@ -113,9 +113,12 @@
       session.endpoint = { ...session.endpoint, draining: true };
       if (session.runs.size === 0) this.endSession(session, "not registered");
     }
-    for (const orphan of this.#orphans.takeLost(clock.now(), takenDown)) {
-      this.#finishOrphan(orphan);
-    }
+    const lost = this.#orphans.takeLost(
+      clock.now(),
+      takenDown,
+      (orphan) => this.#inherited.orphanEndsBy(orphan),
+    );
+    for (const orphan of lost) this.#finishOrphan(orphan);
   }
 
   /** Ends a run whose endpoint has no session as lost. */
@@ -147,14 +150,12 @@
     run: number,
     { checkpoint, ticket }: Pick<Run, "checkpoint" | "ticket">,
   ): Run {
-    const added = this.#createRun(
-      spec,
-      ref,
+    const added = createRun(spec, ref, this.deps.clock.now(), {
       run,
-      "intended",
+      phase: "intended",
       checkpoint,
       ticket,
-    );
+    });
     this.#addRun(session, added);
     return added;
   }
@@ -203,8 +204,11 @@
     const placement = { run: listed.run, endpoint: id, life };
     const spec = this.deps.adoptPlacement(job, ref, placement);
     if (spec === undefined) return false;
-    const { checkpoint } = listed;
-    const run = this.#createRun(spec, ref, listed.run, "running", checkpoint);
+    const run = createRun(spec, ref, this.deps.clock.now(), {
+      run: listed.run,
+      phase: "running",
+      checkpoint: listed.checkpoint,
+    });
     run.wasListed = true;
     this.#addRun(session, run);
     logRunDecision(this.deps, "run-adopted", session, run, "listed");
@@ -229,26 +233,32 @@
     const endedAt = this.deps.clock.now();
     this.#ended.add(id, life, endedAt);
     const unsettled = [...session.runs.values()].filter((r) => !r.wasListed);
-    this.#keepAsOrphans(session, unsettled, endedAt + maxUnsettledOrderMs);
+    const settledBy = endedAt + maxUnsettledOrderMs;
+    const bound = { endsBy: settledBy, longestEndsBy: settledBy };
+    this.#keepAsOrphans(session, unsettled, bound);
     this.endSession(session, "another life");
   }
 
   /**
-   * Keeps runs of a session that ends, and may still be in progress until
-   * `leaseEndsBy`, for the next session of the endpoint's id.
+   * Keeps runs of a session that ends, and may still be in progress until the
+   * end of their lease, for the next session of the endpoint's id.
    */
   #keepAsOrphans(
     session: EndpointSession,
     runs: readonly Run[],
-    leaseEndsBy: number,
+    bound: LeaseBound,
   ): void {
-    const { id } = session.endpoint;
+    const { id, life } = session.endpoint;
     for (const run of runs) {
       if (run.phase === "intended") continue;
       session.remove(run);
       this.#runIndex.remove(run);
-      const unsettled = { ...run, stoppedAt: undefined };
-      this.#orphans.add({ run: unsettled, endpoint: id, leaseEndsBy });
+      this.#orphans.add({
+        run: { ...run, stoppedAt: undefined },
+        endpoint: id,
+        life,
+        bound,
+      });
     }
   }
 
@@ -321,11 +331,16 @@
     const restartLeaseEndsBy = this.#ended.has(id)
       ? now + maxUnsettledOrderMs
       : -Infinity;
-    const leaseEndsBy = Math.max(
+    const endsBy = Math.max(
       restartLeaseEndsBy,
-      ...orphans.map((orphan) => orphan.leaseEndsBy),
+      this.#inherited.endpointEndsBy(endpoint),
+      ...orphans.map((orphan) => this.#inherited.orphanEndsBy(orphan)),
     );
-    const session = new EndpointSession(endpoint, leaseEndsBy);
+    const inherited = latestBound([
+      { endsBy, longestEndsBy: endsBy },
+      ...orphans.map(({ bound }) => ({ ...bound, endsBy })),
+    ]);
+    const session = new EndpointSession(endpoint, inherited);
     this.#sessions.set(id, session);
     this.#ended.delete(id);
     for (const { run } of orphans) {
@@ -348,7 +363,7 @@
     if (session.closed) return;
     this.#ended.add(id, life, this.deps.clock.now());
     const runs = [...session.runs.values()];
-    this.#keepAsOrphans(session, runs, session.leaseEndsBy);
+    this.#keepAsOrphans(session, runs, session.lease.bound);
     this.endSession(session, "error");
   }
 
@@ -363,34 +378,4 @@
     const { term } = lease;
     log.decision(event, { ...fields, shard, term, endpoint: id, life });
   }
-
-  #createRun(
-    spec: JobSpec,
-    ref: TaskRef,
-    run: number,
-    phase: RunPhase,
-    checkpoint: string,
-    ticket = "",
-  ): Run {
-    const now = this.deps.clock.now();
-    return {
-      name: taskName(spec.id, ref),
-      job: spec.id,
-      ref,
-      run,
-      step: spec.steps[ref.step],
-      payload: spec.payload,
-      phase,
-      phaseChangedAt: now,
-      startSentAt: undefined,
-      stoppedAt: undefined,
-      wasListed: false,
-      percent: -1,
-      progressedAt: now,
-      load: undefined,
-      pace: 100,
-      checkpoint,
-      ticket,
-    };
-  }
 }
--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -14,6 +14,7 @@
 import { isStartingUp } from "./availability.ts";
 import {
   type DriverDependencies,
+  leaseEndsBy,
   maxCommitAgeForHoldMs,
   type SessionControl,
 } from "./driver_dependencies.ts";
@@ -81,13 +82,14 @@
     // each hold would delay the time after which nothing can run there.
     const extendsLease = lease.ageMs < maxCommitAgeForHoldMs && !session.silent;
     const leaseUntil = extendsLease
-      ? session.nextLeaseUntil(sentAt)
+      ? session.lease.nextLeaseUntil(sentAt)
       : undefined;
     const outcome = await orders.hold(session.endpoint, {
       term: lease.term,
-      // After a failure another incarnation may answer, whose ends have the
-      // same numbers.
-      recordedSeq: session.silent ? 0 : session.recordedEndSeq,
+      // Another incarnation may answer, whose ends have the same numbers.
+      recordedSeq: session.silent || session.lease.hasOtherClock
+        ? 0
+        : session.recordedEndSeq,
       ...(leaseUntil !== undefined && { leaseUntil }),
       waitMs: extendsLease ? this.#holdWaitMs(session) : 0,
     });
@@ -124,12 +126,14 @@
       endpoint: session.endpoint.id,
       reason,
       runs: session.runs.size,
-      leaseLeftMs: Math.round(session.leaseEndsBy - clock.now()),
+      leaseLeftMs: Math.round(leaseEndsBy(this.deps, session) - clock.now()),
     });
     if (reason === "fenced") this.deps.onOwnerFenced();
     else if (reason === "other-life" && session.hasAnswered) {
       this.control.endSession(session, reason);
-    } else if (clock.now() > session.leaseEndsBy) this.#endExpiredRuns(session);
+    } else if (clock.now() > leaseEndsBy(this.deps, session)) {
+      this.#endExpiredRuns(session);
+    }
     return holdRetryPauseMs;
   }
 
@@ -158,7 +162,7 @@
       this.control.replaceIncarnation(session);
       return holdRetryPauseMs;
     }
-    session.recordClock(lists.clockMs, now);
+    session.lease.recordClock(lists.clockMs, now);
     session.recordAnswer(sentAt, now);
     this.#reconcile(session, lists, sentAt, now);
     this.runOrders.adjustFillerPace(session);
--- /dev/null
+++ b/src/scheduler/endpoint_lease.ts
@@ -0,0 +1,120 @@
+/**
+ * The lease of an endpoint's runs as their owner knows it: the endpoint's clock,
+ * and bounds on the end of what it may have granted.
+ *
+ * Times are of the owner's monotonic clock, in ms, unless stated otherwise.
+ */
+
+/**
+ * Length of the lease that each hold or start asks for, in ms of the
+ * endpoint's clock. It is longer than a change of owner takes, which is the
+ * lease of a member plus one read of the members.
+ */
+export const taskLeaseMs = 5_000;
+
+/** Maximum fraction by which an endpoint's clock may run slow. */
+export const maxClockDrift = 0.02;
+
+/**
+ * Allowance for the delivery of an answer in the bound on a lease's end, in ms.
+ */
+export const answerDeliveryMs = 100;
+
+/**
+ * Maximum time for which a run can be in progress at an endpoint because of an
+ * order that was meant for its earlier incarnation, in ms: the delivery of the
+ * order, and the longest lease that an endpoint grants. The order asks for a
+ * lease by the clock of the earlier incarnation, so that only this maximum limits
+ * it.
+ */
+export const maxUnsettledOrderMs = 12_000;
+
+/** Error of a comparison of two readings of an endpoint's clock, in ms. */
+const maxClockErrorMs = 500;
+
+/** Times after which nothing can run at an endpoint unless its lease is extended. */
+export interface LeaseBound {
+  /** If the endpoint is the incarnation that orders were meant for. */
+  readonly endsBy: number;
+  /** If orders may have reached another incarnation; not below `endsBy`. */
+  readonly longestEndsBy: number;
+}
+
+/** The later of the ends in some bounds. */
+export function latestBound(bounds: readonly LeaseBound[]): LeaseBound {
+  const endsBy = Math.max(...bounds.map((each) => each.endsBy));
+  const longest = Math.max(...bounds.map((each) => each.longestEndsBy));
+  return { endsBy, longestEndsBy: Math.max(endsBy, longest) };
+}
+
+/** The bound of an endpoint that has granted nothing. */
+export const noLease: LeaseBound = {
+  endsBy: -Infinity,
+  longestEndsBy: -Infinity,
+};
+
+/** The lease of one incarnation of an endpoint. */
+export class EndpointLease {
+  /** Reading of the endpoint's clock in its last answer. */
+  #clockMs: number | undefined;
+  /** Time at which that answer was received. */
+  #clockReadAt = 0;
+  #bound: LeaseBound;
+  #hasOtherClock = false;
+
+  /** @param inherited Bound of the leases that earlier owners granted. */
+  constructor(inherited: LeaseBound) {
+    this.#bound = inherited;
+  }
+
+  /** Bound of the leases that the endpoint may have granted. */
+  get bound(): LeaseBound {
+    return this.#bound;
+  }
+
+  /** Whether the endpoint's clock is known. */
+  get isClockKnown(): boolean {
+    return this.#clockMs !== undefined;
+  }
+
+  /**
+   * Whether an order was answered with a clock that this incarnation can't have.
+   */
+  get hasOtherClock(): boolean {
+    return this.#hasOtherClock;
+  }
+
+  /**
+   * The end of the lease to ask for at `now`, in ms of the endpoint's clock;
+   * undefined before its clock is known. Also advances {@link bound}, because the
+   * endpoint may grant the lease even if its answer is lost.
+   */
+  nextLeaseUntil(now: number): number | undefined {
+    if (this.#clockMs === undefined) return undefined;
+    const endpointClockMs = this.#clockMs + (now - this.#clockReadAt);
+    const until = Math.floor(endpointClockMs + taskLeaseMs);
+    const maxRemainingMs = (until - this.#clockMs) * (1 + maxClockDrift);
+    const endsBy = this.#clockReadAt + maxRemainingMs + answerDeliveryMs;
+    const longestEndsBy = now + maxUnsettledOrderMs;
+    this.#bound = latestBound([this.#bound, { endsBy, longestEndsBy }]);
+    return until;
+  }
+
+  /** Records the endpoint's clock from an answer that was received at `now`. */
+  recordClock(clockMs: number, now: number): void {
+    this.#clockMs = clockMs;
+    this.#clockReadAt = now;
+  }
+
+  /**
+   * Compares the clock in the answer to an order that was sent at `sentAt` with
+   * the one that is known; one that is behind is of another incarnation.
+   */
+  checkClock(clockMs: number, sentAt: number): void {
+    if (this.#clockMs === undefined) return;
+    const elapsedMs = sentAt - this.#clockReadAt;
+    const least = this.#clockMs +
+      Math.min(elapsedMs, elapsedMs * (1 - maxClockDrift));
+    this.#hasOtherClock ||= clockMs < least - maxClockErrorMs;
+  }
+}
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -7,11 +7,13 @@
  */
 import {
   addResources,
+  type JobSpec,
   noResources,
   reservedResources,
   type Resources,
   type StepSpec,
   subtractResources,
+  taskName,
   type TaskRef,
 } from "../batch/index.ts";
 import type {
@@ -20,26 +22,12 @@
   RunningTask,
   TaskEndpoint,
 } from "../endpoint/index.ts";
+import { EndpointLease, type LeaseBound, noLease } from "./endpoint_lease.ts";
 import { type FailureHistory, noFailures } from "./failure_history.ts";
 
-/**
- * Length of the lease that each hold or start asks for, in ms of the
- * endpoint's clock. It is longer than a change of owner takes, which is the
- * lease of a member plus one read of the members.
- */
-export const taskLeaseMs = 5_000;
-
-/** Maximum fraction by which an endpoint's clock may run slow. */
-export const maxClockDrift = 0.02;
-
 /** Maximum time that an endpoint takes to stop a run, in ms. */
 const maxStopMs = 1_000;
 
-/**
- * Allowance for the delivery of an answer in the bound on a lease's end, in ms.
- */
-export const answerDeliveryMs = 100;
-
 /**
  * Phase of a run.
  *
@@ -102,6 +90,40 @@
   readonly ticket: string;
 }
 
+/** What a new {@link Run} begins with. */
+export interface RunOptions extends Pick<Run, "run" | "phase"> {
+  readonly checkpoint?: string;
+  readonly ticket?: string;
+}
+
+/** Creates a run of a task, of which nothing is known at the time `now`. */
+export function createRun(
+  spec: JobSpec,
+  ref: TaskRef,
+  now: number,
+  { run, phase, checkpoint = "", ticket = "" }: RunOptions,
+): Run {
+  return {
+    name: taskName(spec.id, ref),
+    job: spec.id,
+    ref,
+    run,
+    step: spec.steps[ref.step],
+    payload: spec.payload,
+    phase,
+    phaseChangedAt: now,
+    startSentAt: undefined,
+    stoppedAt: undefined,
+    wasListed: false,
+    percent: -1,
+    progressedAt: now,
+    load: undefined,
+    pace: 100,
+    checkpoint,
+    ticket,
+  };
+}
+
 /** Differences between an endpoint's task lists and the tracked runs. */
 export interface ListComparison {
   /** Ends that were not seen before, by ascending sequence number. */
@@ -146,6 +168,8 @@
  * State of one incarnation of an endpoint; it ends when the endpoint restarts.
  */
 export class EndpointSession {
+  /** The endpoint's clock, and the end of its lease. */
+  readonly lease: EndpointLease;
   /** The tracked runs, by the name of their task. */
   readonly runs = new Map<string, Run>();
   /**
@@ -172,15 +196,9 @@
   /** Time of the last answer to a hold. */
   #lastAnswerAt = -Infinity;
   #used: Resources = noResources;
-  /** Reading of the endpoint's clock in its last answer. */
-  #clockMs: number | undefined;
-  /** Time at which that answer was received. */
-  #clockReadAt = 0;
-  #leaseEndsBy: number;
-
-  /** @param leaseEndsBy Latest end of a lease that an earlier owner granted. */
-  constructor(public endpoint: TaskEndpoint, leaseEndsBy: number) {
-    this.#leaseEndsBy = leaseEndsBy;
+  /** @param inherited Bound of the leases that earlier owners granted. */
+  constructor(public endpoint: TaskEndpoint, inherited: LeaseBound = noLease) {
+    this.lease = new EndpointLease(inherited);
   }
 
   /**
@@ -207,11 +225,6 @@
     return this.#used;
   }
 
-  /** Time after which nothing can run there unless the lease is extended. */
-  get leaseEndsBy(): number {
-    return this.#leaseEndsBy;
-  }
-
   /** Whether the last hold had no answer. */
   get silent(): boolean {
     return this.#unansweredSince !== undefined;
@@ -266,7 +279,7 @@
   get isOpen(): boolean {
     return !this.closed && this.fenced && !this.silent && !this.isDisputed &&
       !this.endpoint.draining &&
-      this.#clockMs !== undefined;
+      this.lease.isClockKnown;
   }
 
   /** Adds a run and reserves its resources. */
@@ -288,27 +301,6 @@
     return run?.run === runNumber ? run : undefined;
   }
 
-  /**
-   * The end of the lease to ask for at `now`, in ms of the endpoint's clock;
-   * undefined before its clock is known. Also advances {@link leaseEndsBy},
-   * because the endpoint may grant the lease even if its answer is lost.
-   */
-  nextLeaseUntil(now: number): number | undefined {
-    if (this.#clockMs === undefined) return undefined;
-    const endpointClockMs = this.#clockMs + (now - this.#clockReadAt);
-    const until = Math.floor(endpointClockMs + taskLeaseMs);
-    const maxRemainingMs = (until - this.#clockMs) * (1 + maxClockDrift);
-    const endsBy = this.#clockReadAt + maxRemainingMs + answerDeliveryMs;
-    this.#leaseEndsBy = Math.max(this.#leaseEndsBy, endsBy);
-    return until;
-  }
-
-  /** Records the endpoint's clock from an answer that was received at `now`. */
-  recordClock(clockMs: number, now: number): void {
-    this.#clockMs = clockMs;
-    this.#clockReadAt = now;
-  }
-
   /**
    * Updates the tracked runs from lists that were requested at `sentAt`, and
    * returns what differs. Lists say nothing about changes after `sentAt`. While
--- a/src/scheduler/index.ts
+++ b/src/scheduler/index.ts
@@ -3,7 +3,8 @@
  * endpoints and supervises their runs.
  */
 export { CommitQueue } from "./commit_queue.ts";
-export { EndpointSession, type Run, taskLeaseMs } from "./endpoint_session.ts";
+export { taskLeaseMs } from "./endpoint_lease.ts";
+export { EndpointSession, type Run } from "./endpoint_session.ts";
 export {
   type PendingJob,
   selectDeferredJobs,
--- a/src/scheduler/orphan_runs.ts
+++ b/src/scheduler/orphan_runs.ts
@@ -4,6 +4,7 @@
  * flight when their endpoint restarted. A restarted endpoint keeps its id, so
  * such a start may still be carried out by its next incarnation.
  */
+import type { LeaseBound } from "./endpoint_lease.ts";
 import type { Run } from "./endpoint_session.ts";
 
 /** A run whose endpoint has no session. */
@@ -11,8 +12,10 @@
   readonly run: Run;
   /** Id of the endpoint. */
   readonly endpoint: string;
-  /** Monotonic time in ms at which its lease has expired for certain. */
-  readonly leaseEndsBy: number;
+  /** Incarnation of the endpoint that its start was meant for. */
+  readonly life: number;
+  /** Bound of the lease under which it may run. */
+  readonly bound: LeaseBound;
 }
 
 /** The orphan runs of one shard. */
@@ -31,14 +34,16 @@
 
   /**
    * Removes and returns the runs that can no longer be in progress: their host
-   * was taken down, or their lease has expired.
+   * was taken down, or their lease has expired, at the time that `leaseEndsBy`
+   * returns.
    */
   takeLost(
     now: number,
     takenDown: ReadonlySet<string>,
+    leaseEndsBy: (orphan: OrphanRun) => number,
   ): readonly OrphanRun[] {
-    return this.#remove(({ endpoint, leaseEndsBy }) =>
-      takenDown.has(endpoint) || now > leaseEndsBy
+    return this.#remove((orphan) =>
+      takenDown.has(orphan.endpoint) || now > leaseEndsBy(orphan)
     );
   }
 
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -56,7 +56,7 @@
   async start(session: EndpointSession, run: Run): Promise<void> {
     const { lease, clock, orders } = this.deps;
     if (this.control.isStopped || run.phase !== "intended") return;
-    const leaseUntil = session.nextLeaseUntil(clock.now());
+    const leaseUntil = session.lease.nextLeaseUntil(clock.now());
     const isCommitRecent = lease.ageMs < maxCommitAgeForStartMs;
     const isWanted = this.deps.mayStart(run);
     if (
@@ -69,6 +69,7 @@
     this.#setPhase(run, "starting");
     run.progressedAt = clock.now();
     if (run.checkpoint === "") run.startSentAt = run.progressedAt;
+    const sentAt = clock.now();
     const outcome = await orders.start(session.endpoint, {
       term: lease.term,
       task: run.name,
@@ -78,6 +79,9 @@
       checkpoint: run.checkpoint,
       ticket: run.ticket,
     });
+    if (outcome.kind === "done" && outcome.clockMs !== undefined) {
+      session.lease.checkClock(outcome.clockMs, sentAt);
+    }
     if (this.control.isStopped || session.runs.get(run.name) !== run) return;
     if (outcome.kind === "done") {
       this.deps.onRunConfirmed(run);
--- a/test/scheduler/endpoint_session_test.ts
+++ b/test/scheduler/endpoint_session_test.ts
@@ -6,7 +6,7 @@
 import { endpoint, newRun as run } from "./sessions.ts";
 
 function newSession(): EndpointSession {
-  return new EndpointSession(endpoint("e"), 0);
+  return new EndpointSession(endpoint("e"));
 }
 
 const emptyLists: EndpointLists = {
@@ -132,10 +132,10 @@
 describe("EndpointSession.leaseEndsBy", () => {
   it("allows for the drift of the endpoint's clock", () => {
     const session = newSession();
-    session.recordClock(10_000, 1_000);
-    assert.equal(session.nextLeaseUntil(1_500), 15_500);
+    session.lease.recordClock(10_000, 1_000);
+    assert.equal(session.lease.nextLeaseUntil(1_500), 15_500);
     // 5,500 ms of a clock that is 2% slow, plus 100 ms to deliver the answer.
-    assert.equal(session.leaseEndsBy, 1_000 + 5_610 + 100);
+    assert.equal(session.lease.bound.endsBy, 1_000 + 5_610 + 100);
   });
 });
 
--- a/test/scheduler/pool_simulation.ts
+++ b/test/scheduler/pool_simulation.ts
@@ -116,9 +116,9 @@
     this.#sessions = Array.from({ length: load.endpoints }, (_, i) => {
       const cpuMillis = endpointCores * 1_000;
       const capacity = { cpuMillis, memoryMb: 262_144, gpus: 0 };
-      const session = new EndpointSession(endpoint(`e${i}`, { capacity }), 0);
+      const session = new EndpointSession(endpoint(`e${i}`, { capacity }));
       session.fencedAt = -Infinity;
-      session.recordClock(0, 0);
+      session.lease.recordClock(0, 0);
       return session;
     });
     const clock: Clock = {
--- a/test/scheduler/sessions.ts
+++ b/test/scheduler/sessions.ts
@@ -27,9 +27,9 @@
   id: string,
   changes: Partial<TaskEndpoint> = {},
 ): EndpointSession {
-  const session = new EndpointSession(endpoint(id, changes), 0);
+  const session = new EndpointSession(endpoint(id, changes));
   session.fencedAt = -Infinity;
-  session.recordClock(0, 0);
+  session.lease.recordClock(0, 0);
   return session;
 }
 
