--- a/src/service/index.ts
+++ b/src/service/index.ts
@@ -4,6 +4,7 @@
   type BatchServiceDependencies,
   type FollowedTable,
 } from "./batch_service.ts";
+export { openPort, type OpenPortDependencies } from "./open_port.ts";
 export {
   ShardManager,
   type ShardManagerDependencies,
--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -26,6 +26,9 @@
  */
 const claimFallbackMs = 1_000;
 
+/** Pause of the fleet's control loop after an error, in ms. */
+const crashPauseMs = 1_000;
+
 /** Minimum time between two releases that balance the load, in ms. */
 const minRebalanceIntervalMs = 5_000;
 
@@ -127,7 +130,10 @@
       const since = this.#unownedSince.get(shard) ?? now;
       this.#unownedSince.set(shard, since);
       const mayTake = entry === self.entry || now - since > claimFallbackMs;
-      if (mayTake && !this.#acquiring.has(shard)) this.#acquire(shard, members);
+      if (!mayTake || this.#acquiring.has(shard)) continue;
+      this.#acquire(shard, members).catch((err) =>
+        this.deps.onCrash(`acquire ${shard}`, err)
+      );
     }
     this.#rebalance(members);
   }
@@ -150,7 +156,9 @@
     this.#rebalancedAt = clock.now();
     this.#owned.delete(shard);
     log.decision("shard-released", { shard, reason: "balance" });
-    owned.release().then(() => this.#membership.heartbeat());
+    owned.release().then(() => this.#membership.heartbeat()).catch((err) =>
+      this.deps.onCrash(`release ${shard}`, err)
+    );
   }
 
   /** Acquires a shard, unless a live owner holds it, and runs its owner. */
@@ -269,7 +277,12 @@
     };
     const reconcile = async (): Promise<void> => {
       if (stopped) return;
-      const delayMs = await owner.reconcile();
+      let delayMs = crashPauseMs;
+      try {
+        delayMs = await owner.reconcile();
+      } catch (err) {
+        deps.onCrash("fleet", err);
+      }
       if (lease.isLost) this.#removeOwned(fleetShard, owned);
       else deps.clock.after(delayMs, reconcile);
     };
