--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -72,8 +72,25 @@
   return { table: "learned", partition: shard, key: "run-times" };
 }
 
-/** Schema of the number of waiting jobs by queue. */
-export const waitingCountsSchema = v.record(v.string(), v.number());
+const waitingCountsSchema = v.object({
+  /** Term of the owner that has counted. */
+  term: v.number(),
+  /** Number of waiting jobs by queue. */
+  queues: v.record(v.string(), v.number()),
+});
+
+/** Numbers of waiting jobs as an owner publishes them. */
+export type WaitingCounts = v.InferOutput<typeof waitingCountsSchema>;
+
+/** Encodes the numbers of waiting jobs. */
+export function encodeWaitingCounts(counts: WaitingCounts): string {
+  return JSON.stringify(counts);
+}
+
+/** Decodes them; undefined if the row is invalid, or of an older release. */
+export function decodeWaitingCounts(value: string): WaitingCounts | undefined {
+  return parseJson(waitingCountsSchema, value);
+}
 
 /** Range that contains exactly one key. */
 export function singleKeyRange(
--- a/src/intake/intake.ts
+++ b/src/intake/intake.ts
@@ -17,15 +17,12 @@
   type JobSpec,
   progressKey,
   singleKeyRange,
-  waitingCountsKey,
-  waitingCountsSchema,
 } from "../batch/index.ts";
 import type { Queue } from "../catalog/index.ts";
 import { type Clock, delay } from "../clock/index.ts";
 import { codes, fail, type Failure } from "../errors/index.ts";
 import {
   maxRowBytes,
-  parseJson,
   type Store,
   type StoreBreaker,
   type StoreFailure,
@@ -35,6 +32,7 @@
 import { queueId, QueuePools } from "./queue_pools.ts";
 import { RecentSubmissions } from "./recent_submissions.ts";
 import { Submission } from "./submission.ts";
+import { WaitingJobs } from "./waiting_jobs.ts";
 
 /** Pause before a failed store call is retried, in ms. */
 const retryPauseMs = 40;
@@ -81,15 +79,11 @@
   readonly version: number;
 }
 
-/** Waiting jobs of a queue in the value of a row of counts. */
-function waitingIn(counts: string | undefined, queue: string): number {
-  return parseJson(waitingCountsSchema, counts ?? "")?.[queue] ?? 0;
-}
-
 /** Serves the callers' requests about jobs from the store. */
 export class Intake {
   readonly #recent: RecentSubmissions;
   readonly #pools: QueuePools;
+  readonly #waiting: WaitingJobs;
 
   constructor(
     private readonly store: Store,
@@ -99,6 +93,7 @@
   ) {
     this.#recent = new RecentSubmissions(clock);
     this.#pools = new QueuePools(store);
+    this.#waiting = new WaitingJobs(store, clock);
   }
 
   /** Reads ahead what the first requests of these queues need. */
@@ -106,6 +101,11 @@
     return this.#pools.prepare(queues);
   }
 
+  /** Adds the store's version in the answer to a call sent at `sentAt` (ms). */
+  addStoreVersion(version: number, sentAt: number): void {
+    this.#waiting.addStoreVersion(version, sentAt);
+  }
+
   /**
    * Stores a job. Fails with `recordUnavailable` when it is certain that the job
    * was not stored, without a call if the store is known not to answer. Fails
@@ -225,13 +225,14 @@
       deadline,
     );
     if (pools.err) return pools;
-    const counts = await Promise.all(
-      pools.val.map((pool) => this.#read(waitingCountsKey(pool), deadline)),
-    );
     let waiting = 0;
-    for (const row of counts) {
-      if (row.err) return row;
-      waiting += waitingIn(row.val?.value, queue.name);
+    for (const pool of pools.val) {
+      const count = await this.#untilRead(
+        () => this.#waiting.count(pool, queue.name),
+        deadline,
+      );
+      if (count.err) return count;
+      waiting += count.val;
     }
     return Ok(waiting);
   }
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -9,6 +9,7 @@
  */
 import { ActorSystem } from "../actors/index.ts";
 import {
+  encodeWaitingCounts,
   isFinal,
   placedTasks,
   progressKey,
@@ -104,7 +105,11 @@
       onChange: () => this.requestPass(),
     });
     this.#reports = new ShardReports(shard, {
-      encodeCounts: () => JSON.stringify(this.jobs.waitingByQueue()),
+      encodeCounts: () =>
+        encodeWaitingCounts({
+          term: lease.term,
+          queues: this.jobs.waitingByQueue(),
+        }),
       encodeRunTimes: () => this.#runTimes.encode(),
     });
     this.#recorder = new RunRecorder({
--- a/src/service/batch_service.ts
+++ b/src/service/batch_service.ts
@@ -143,9 +143,12 @@
       table.watch.stopFollowing();
       return inactiveRecheckMs;
     }
-    const polled = this.#breaker.record(await table.watch.poll(table.waitMs));
     const { clock, log } = this.deps;
+    const sentAt = clock.now();
+    const polled = this.#breaker.record(await table.watch.poll(table.waitMs));
     if (polled.ok) {
+      const { version } = table.watch;
+      if (version !== undefined) this.intake.addStoreVersion(version, sentAt);
       this.#storeAnsweredAt = clock.now();
       if (this.#failingTables.delete(table.name)) {
         log.decision("table-back", { table: table.name });
--- a/src/store/table_watch.ts
+++ b/src/store/table_watch.ts
@@ -75,6 +75,11 @@
     return this.#version !== undefined;
   }
 
+  /** Version up to which changes have been delivered; undefined for none. */
+  get version(): number | undefined {
+    return this.#version;
+  }
+
   /** Stops following; the next poll reads the whole table again. */
   stopFollowing(): void {
     this.#version = undefined;
