--- a/src/scheduler/job_registry.ts
+++ b/src/scheduler/job_registry.ts
@@ -42,6 +42,8 @@
   progress: JobProgress;
   /** Endpoints where a task has failed or stalled, by the task's name. */
   readonly failedEndpoints: Map<string, Set<string>>;
+  /** Number of runs that were stopped for a stall, by the task's name. */
+  readonly stalls: Map<string, number>;
   /** Monotonic time in ms since which the job is known to be final. */
   finalSince: number | undefined;
   /** Evenly distributed pseudo-random number in [0, 1), from the job's id. */
@@ -183,6 +185,13 @@
     job.failedEndpoints.set(name, endpoints.add(endpoint));
   }
 
+  /** Records that a run of a task is stopped for a stall at an endpoint. */
+  recordStall(job: TrackedJob, ref: TaskRef, endpoint: string): void {
+    const name = taskName(job.spec.id, ref);
+    job.stalls.set(name, (job.stalls.get(name) ?? 0) + 1);
+    this.recordFailure(job, ref, endpoint);
+  }
+
   /** Number of jobs that have not started any task, by queue. */
   waitingByQueue(): Record<string, number> {
     const counts: Record<string, number> = {};
@@ -265,6 +274,7 @@
       inboxVersion: row.version,
       progress: storedProgress ?? initialProgress,
       failedEndpoints: new Map(),
+      stalls: new Map(),
       finalSince: undefined,
       randomFraction: randomFractionOf(spec.id),
     };
--- a/src/scheduler/run_supervisor.ts
+++ b/src/scheduler/run_supervisor.ts
@@ -16,7 +16,7 @@
 import type { EndpointSession, Run } from "./endpoint_session.ts";
 import type { JobRegistry, TrackedJob } from "./job_registry.ts";
 import type { RunOrders } from "./run_orders.ts";
-import { isStalled } from "./stall.ts";
+import { hasOtherProgress, isStalled } from "./stall.ts";
 import { vacatedKey, type VacateState } from "../upkeep/index.ts";
 import { withFailure } from "./failure_history.ts";
 
@@ -96,12 +96,15 @@
         this.deps.driver.runOrders.stop(session, run, "job is final");
         continue;
       }
-      if (!isStalled(session, run, now)) continue;
-      this.deps.jobs.recordFailure(job, run.ref, session.endpoint.id);
-      session.failures = withFailure(session.failures, run.job, now);
+      const earlierStalls = job.stalls.get(run.name) ?? 0;
+      if (!isStalled(session, run, now, earlierStalls)) continue;
+      this.deps.jobs.recordStall(job, run.ref, session.endpoint.id);
+      if (!hasOtherProgress(session, run)) {
+        session.failures = withFailure(session.failures, run.job, now);
+      }
       const { progressedAt } = run;
       this.deps.driver.runOrders.stop(session, run, "no progress", {
-        logFields: { newsMs: this.#listsAgeMs(session) },
+        logFields: { newsMs: this.#listsAgeMs(session), earlierStalls },
         isMet: () =>
           run.progressedAt === progressedAt &&
           isUpToDate(session, this.deps.clock.now()),
--- a/src/scheduler/stall.ts
+++ b/src/scheduler/stall.ts
@@ -6,17 +6,35 @@
 } from "./availability.ts";
 import type { EndpointSession, Run } from "./endpoint_session.ts";
 
-/** Time without progress after which a run counts as stalled, in ms. */
-const stallMs = 2_500;
+/** Time without progress after which a task's first run counts as stalled, in ms. */
+const firstStallMs = 2_500;
+
+/** Longest time without progress that a run is given, in ms. */
+const maxStallMs = 600_000;
+
+/** Time that a hold waits for changes, in ms. */
+const holdWaitMs = 1_000;
 
 /**
- * Minimum time from the last progress to the last received lists, in ms:
- * `stallMs` minus the time that a hold waits for changes.
+ * Time without progress after which a run counts as stalled, in ms. Progress is
+ * reported in whole percent, and one percent of a long task may take any time. So
+ * the time doubles with each run of the task that was stopped for a stall.
  */
-const minIdleMs = 1_500;
+function stallTimeMs(earlierStalls: number): number {
+  return Math.min(maxStallMs, firstStallMs * 2 ** earlierStalls);
+}
+
+/** Whether another run of the endpoint has made progress after this one. */
+export function hasOtherProgress(session: EndpointSession, run: Run): boolean {
+  return [...session.runs.values()].some((other) =>
+    other !== run && other.percent > 0 &&
+    other.progressedAt > run.progressedAt
+  );
+}
 
 /**
- * Returns whether a run is stalled at the monotonic time `now` (ms). No run of
+ * Returns whether a run is stalled at the monotonic time `now` (ms), when
+ * `earlierStalls` runs of its task have been stopped for a stall. No run of
  * an endpoint without recent lists counts as stalled, because its progress is
  * unknown. A long-running run counts only if it is not fully up after its
  * startup time. Of the other runs, members of a gang don't count, because they
@@ -26,9 +44,12 @@
   session: EndpointSession,
   run: Run,
   now: number,
+  earlierStalls = 0,
 ): boolean {
   if (!isUpToDate(session, now)) return false;
+  const stallMs = stallTimeMs(earlierStalls);
   const idleMs = session.lastAnswerAt - run.progressedAt;
+  const minIdleMs = stallMs - holdWaitMs;
   if (idleMs <= minIdleMs || now - run.progressedAt <= stallMs) return false;
   if (!run.step.longRunning) return !run.step.gang && run.pace === 100;
   return run.percent < fullyUpPercent &&
--- a/test/sim/stalled_runs_test.ts
+++ b/test/sim/stalled_runs_test.ts
@@ -60,6 +60,24 @@
   });
 });
 
+describe("runs of which one percent takes longer than a stall", () => {
+  // Guards against LOST: long tasks were stopped for a stall again and again, and
+  // never ended, and their endpoints were avoided.
+  it("end after a few stops", async () => {
+    const sim = await settledSimulation({ workFactor: 500 });
+    const runner = new ActionRunner(sim);
+    for (let i = 0; i < 5; i++) {
+      await runner.perform({ kind: "submit", job: "single", pool: 0 });
+    }
+    await sim.advance(900_000);
+    const stops = sim.log.filter((line) => line.includes('"no progress"'));
+    assert.ok(stops.length <= 10, `${stops.length} stops`);
+    const { length } = sim.log.filter((line) => line.includes('"end":"done"'));
+    assert.equal(length, 5);
+    endSimulation(sim);
+  });
+});
+
 describe("a run that ends while its endpoint is disconnected", () => {
   // Guards against a false violation: the lease lapsed after the run ended and
   // before its end was recorded, so that end does not count.
