--- a/src/capacity/host_demand.ts
+++ b/src/capacity/host_demand.ts
@@ -108,6 +108,18 @@
   return most;
 }
 
+/**
+ * Returns the hosts that GPUs are needed for, as far as the pool has hosts with
+ * some: a host without GPUs would not help.
+ */
+function hostsForGpus(
+  gpus: number,
+  endpoints: readonly PoolEndpoint[],
+): number {
+  const perHost = Math.max(0, ...endpoints.map((each) => each.capacity.gpus));
+  return perHost > 0 ? gpus / perHost : 0;
+}
+
 /**
  * Returns the number of hosts that a shard needs. Hosts that are needed only to
  * spread tasks have free capacity, which counts as spare. Before an endpoint
@@ -124,6 +136,11 @@
   const memory = requested.memoryMb + spare.memoryMb;
   const hostsForCpu = cpu / Math.max(1, capacity.cpuMillis * maxFillShare);
   const hostsForMemory = memory / Math.max(1, capacity.memoryMb * maxFillShare);
-  const needed = Math.max(hostsForCpu, hostsForMemory, spreadHosts);
+  const needed = Math.max(
+    hostsForCpu,
+    hostsForMemory,
+    hostsForGpus(requested.gpus, input.endpoints),
+    spreadHosts,
+  );
   return Math.max(minHosts, Math.ceil(needed));
 }
--- a/test/capacity/host_demand_test.ts
+++ b/test/capacity/host_demand_test.ts
@@ -74,6 +74,25 @@
     assert.ok(hostsFor([{ ...plainStep(8, []), demand }]) >= 9);
   });
 
+  // Guards against LOST: the demand ignored GPUs, so that the hosts that have them
+  // were closed while tasks waited for them.
+  it("includes the hosts whose GPUs are asked for", () => {
+    const demand = { cpuMillis: 100, memoryMb: 100, gpus: 1 };
+    const jobs = [openJob("job", [{ ...plainStep(6, []), demand }])];
+    const withGpu = { ...endpoint.capacity, gpus: 1 };
+    const hosts = (capacity: typeof withGpu) =>
+      computeHostDemand({
+        jobs,
+        endpoints: [endpoint, { ...endpoint, id: "b", capacity }],
+        knownHosts: [capacity],
+        arrivingCpuMillis: 0,
+        isLate: () => false,
+      });
+    assert.equal(hosts(withGpu), 6);
+    assert.equal(hosts({ ...withGpu, gpus: 4 }), 2);
+    assert.equal(hosts(endpoint.capacity), 2);
+  });
+
   it("is two hosts without jobs", () => {
     assert.equal(hostsFor([]), 2);
   });
