--- a/bench/placement.ts
+++ b/bench/placement.ts
@@ -3,7 +3,7 @@
  * tasks and endpoints, of which some are full.
  */
 import { makeJob, plainStep } from "../sim/jobs.ts";
-import { openOccurrence } from "../src/batch/index.ts";
+import { openOccurrences } from "../src/batch/index.ts";
 import {
   EndpointSession,
   JobRegistry,
@@ -88,7 +88,9 @@
     };
     registry.applyInbox([{ kind: "put", row }], 0);
     const job = registry.byId.get(spec.id);
-    if (job !== undefined) job.progress = openOccurrence(job.progress, spec);
+    if (job !== undefined) {
+      job.progress = openOccurrences(job.progress, spec, 1);
+    }
   }
   return [...registry.byId.values()];
 }
--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -117,11 +117,6 @@
   return { ...p, open, nextOccurrence };
 }
 
-/** Opens the next occurrence, as {@link openOccurrences} does. */
-export function openOccurrence(p: JobProgress, spec: JobSpec): JobProgress {
-  return openOccurrences(p, spec, 1);
-}
-
 function withTask(p: JobProgress, ref: TaskRef, task: TaskState): JobProgress {
   const occurrence = p.open.get(ref.occurrence);
   if (occurrence === undefined) return p;
--- a/test/batch/progress_test.ts
+++ b/test/batch/progress_test.ts
@@ -11,7 +11,7 @@
   type JobProgress,
   type JobSpec,
   nextRunNumber,
-  openOccurrence,
+  openOccurrences,
   placeTask,
   recordRunEnd,
   type RunEnd,
@@ -26,7 +26,7 @@
 const firstTask = { occurrence: 0, step: 0, index: 0 };
 
 function openFirst(spec: JobSpec): JobProgress {
-  return openOccurrence(initialProgress, spec);
+  return openOccurrences(initialProgress, spec, 1);
 }
 
 function place(p: JobProgress, spec: JobSpec, ref = firstTask): JobProgress {
@@ -229,7 +229,7 @@
         steps: [plainStep(130, []), { ...plainStep(3, [0]), gang: true }],
         schedule: { firstAtMs: 0, periodMs: 1, count: 3 },
       };
-      const start = openOccurrence(openFirst(wide), wide);
+      const start = openOccurrences(openFirst(wide), wide, 1);
 
       /** Applies changes and returns the rows after each of them. */
       function play(picks: readonly (readonly [number, RunEnd])[]) {
--- a/test/platform/submission_test.ts
+++ b/test/platform/submission_test.ts
@@ -3,7 +3,7 @@
 import process from "node:process";
 import { describe, it } from "node:test";
 import fc from "fast-check";
-import { decodeSubmission } from "../../platform/decode.ts";
+import { decodeSubmission } from "../../platform/decode_submission.ts";
 import {
   ArrivalRate,
   computeHostDemand,
--- a/test/scheduler/jobs.ts
+++ b/test/scheduler/jobs.ts
@@ -2,7 +2,7 @@
 import { queueForPool } from "../../sim/pools.ts";
 import {
   type JobSpec,
-  openOccurrence,
+  openOccurrences,
   type StepSpec,
 } from "../../src/batch/index.ts";
 import { JobRegistry, type TrackedJob } from "../../src/scheduler/index.ts";
@@ -34,7 +34,7 @@
   const value = JSON.stringify(spec);
   const row = { table: "", partition: "", key: id, value, version: 1 };
   const [job] = registry.applyInbox([{ kind: "put", row }], 0);
-  job.progress = openOccurrence(job.progress, spec);
+  job.progress = openOccurrences(job.progress, spec, 1);
   return job;
 }
 
