--- a/src/capacity/host_demand.ts
+++ b/src/capacity/host_demand.ts
@@ -7,8 +7,8 @@
  * hosts that on-time work of another pool needs. The future need is the forecast
  * of arriving work: a surge shows in the arrivals before its tasks queue up.
  *
- * A task takes one host at the most, whatever size its caller has declared. One
- * that is larger than every known host needs none, as no host would help it.
+ * A task that is larger than every known host counts for nothing, as no further
+ * host would help it.
  */
 import {
   addResources,
