Name the wait of a hold once, and say two bounds more plainly

The stall's check had the wait of a hold as a constant of its own. Comments of the inherited leases are reworded.

--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -23,7 +23,7 @@
 import { noFailures, withFailure } from "./failure_history.ts";
 
 /** Time for which an endpoint keeps a hold open until a task ends, in ms. */
-const holdWaitMs = 1_000;
+export const holdWaitMs = 1_000;
 
 /**
  * The same while a long-running task starts up, in ms. It is shorter because
--- a/src/scheduler/inherited_leases.ts
+++ b/src/scheduler/inherited_leases.ts
@@ -2,8 +2,8 @@
  * Bounds on the leases that earlier owners of a shard may have granted.
  *
  * A lease is granted by the clock of the endpoint. An endpoint that restarts
- * under its id carries out orders that were meant for its earlier incarnation;
- * their lease is by a clock that it has not, and may be as long as it grants any.
+ * under its id carries out orders that were meant for its earlier incarnation.
+ * They ask for a lease by that incarnation's clock, and may get the longest one.
  * An owner that has just taken over can't ask its predecessor what it knew, so it
  * reckons with the longest lease wherever an endpoint may have restarted.
  */
@@ -16,7 +16,7 @@
 import { type LeaseBound, maxUnsettledOrderMs } from "./endpoint_lease.ts";
 import type { OrphanRun } from "./orphan_runs.ts";
 
-/** Maximum difference of the clocks that a start and its age are read from, in ms. */
+/** Largest error of an age that is computed from the clocks of two hosts, in ms. */
 const maxWallClockErrorMs = 5_000;
 
 /** The leases that may last when an owner takes its shard over. */
@@ -58,7 +58,7 @@
       : -Infinity;
   }
 
-  /** Whether an endpoint restarted so shortly before the takeover that it matters. */
+  /** Whether leases from before an endpoint's restart may outlast the takeover. */
   #hasRestartedRecently(id: string): boolean {
     const life = this.deps.registry.restartedLife(id);
     if (life === undefined) return false;
--- a/src/scheduler/stall.ts
+++ b/src/scheduler/stall.ts
@@ -4,6 +4,7 @@
   isUpToDate,
   startupTimeoutMs,
 } from "./availability.ts";
+import { holdWaitMs } from "./endpoint_holds.ts";
 import type { EndpointSession, Run } from "./endpoint_session.ts";
 
 /** Time without progress after which a task's first run counts as stalled, in ms. */
@@ -12,9 +13,6 @@
 /** Longest time without progress that a run is given, in ms. */
 const maxStallMs = 600_000;
 
-/** Time that a hold waits for changes, in ms. */
-const holdWaitMs = 1_000;
-
 /**
  * Time without progress after which a run counts as stalled, in ms. Progress is
  * reported in whole percent, and one percent of a long task may take any time. So
