Watch the model for work that stands still

Tasks may be drawn as long ones, and an endpoint may be cut off from the store as well, while its row stays for some time.

--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -14,8 +14,9 @@
 import { BatchService } from "../src/service/index.ts";
 import type { Store } from "../src/store/index.ts";
 import type { RequestedWave } from "../src/upkeep/index.ts";
+import { LostWatch } from "./lost_watch.ts";
 import { ModelAdvisor } from "./model_advisor.ts";
-import type { TaskModel } from "./model_endpoint.ts";
+import type { ModelEndpoint, TaskModel } from "./model_endpoint.ts";
 import { type ModelHost, ModelHosts } from "./model_hosts.ts";
 import { ModelOrders } from "./model_orders.ts";
 import {
@@ -34,6 +35,9 @@
 /** Share by which the endpoints' clocks run slow. */
 const clockDrift = 0.015;
 
+/** Factor by which a long task exceeds its run time as estimated. */
+const longTaskFactor = 12;
+
 /** Size and seed of a simulation. */
 export interface BatchSimulationOptions {
   readonly seed: number;
@@ -42,6 +46,8 @@
   readonly hostsPerPool: number;
   /** Average run time of tasks divided by the caller's estimate; default 1. */
   readonly workFactor?: number;
+  /** Share of tasks that take twelve times as long as others; default 0. */
+  readonly longShare?: number;
 }
 
 /** One process of an entry. */
@@ -265,6 +271,24 @@
     this.#hosts.disconnect(index, downMs);
   }
 
+  /**
+   * Cuts the endpoint of a host off from the entries and the store for `ms`. Its
+   * tasks keep running, and its row stays for `rowKeptMs`, as it goes only after
+   * missed heartbeats.
+   */
+  cutOffHost(index: number, ms: number, rowKeptMs: number): void {
+    const { endpoint } = this.hosts[index % this.hosts.length];
+    if (endpoint === undefined) return;
+    endpoint.isIsolated = true;
+    this.clock.after(ms, () => {
+      endpoint.isIsolated = false;
+    });
+    if (rowKeptMs >= ms) return;
+    this.clock.after(rowKeptMs, () => {
+      this.#hosts.unlist(index, ms - rowKeptMs);
+    });
+  }
+
   /** Removes the registration of an endpoint for `ms`, though it lives. */
   unlistEndpoint(index: number, ms: number): void {
     this.#hosts.unlist(index, ms);
@@ -293,6 +317,25 @@
     this.#registrations.setBack(entry.registry, ageMs, lagMs);
   }
 
+  /**
+   * Begins to watch for work that stands still. It is judged by the rule LOST;
+   * jobs that don't last only after `endTraffic`.
+   */
+  watchLost(): LostWatch {
+    const watch = new LostWatch({
+      now: () => this.clock.now(),
+      after: (ms, callback) => this.clock.after(ms, callback),
+      openJobs: () => this.#openJobs(),
+      poolOf: (job) => this.#poolOf(job),
+      runsOf: (task) => this.oracle.runsOf(task),
+      endpointsIn: (pool) => this.#endpointsIn(pool),
+      isDisturbed: () => this.#isDisturbed(),
+      report: (rule, text) => this.oracle.report(rule, text),
+    });
+    watch.start();
+    return watch;
+  }
+
   /** Longest extra delay of an order or its answer in the network, in ms. */
   set maxOrderDelayMs(ms: number) {
     this.#hosts.network.maxExtraDelayMs = ms;
@@ -329,6 +372,42 @@
     return this.oracle.violations;
   }
 
+  #openJobs(): readonly JobSpec[] {
+    return this.oracle.openJobs().map((id) => this.jobSpecs.get(id))
+      .filter((spec) => spec !== undefined);
+  }
+
+  #poolOf(spec: JobSpec): string {
+    return this.#catalog.queues.find(({ name }) => name === spec.queue)?.pool ??
+      "";
+  }
+
+  /** The endpoints of a pool that are up and that entries reach. */
+  #endpointsIn(pool: string): readonly ModelEndpoint[] {
+    return this.hosts.filter((host) =>
+      host.pool === pool && host.state === "up"
+    ).map(({ endpoint }) => endpoint)
+      .filter((endpoint) => endpoint !== undefined)
+      .filter(({ isUp, isReachable }) => isUp && isReachable);
+  }
+
+  /** Whether entries, store, network, endpoints or their rows are disturbed. */
+  #isDisturbed(): boolean {
+    const entries = [...this.entries.values()];
+    const { maxExtraDelayMs } = this.#hosts.network;
+    return !this.store.isUndisturbed || maxExtraDelayMs > 0 ||
+      entries.some(({ process }) => process.isDead || process.isPaused) ||
+      entries.some(({ orders }) => orders.lateShare > 0) ||
+      this.hosts.some((host) => this.#isHostDisturbed(host));
+  }
+
+  #isHostDisturbed({ pool, state, endpoint }: ModelHost): boolean {
+    if (state === "down" || endpoint === undefined) return true;
+    if (state !== "up") return false;
+    if (!endpoint.isReachable) return true;
+    return pool !== "spare" && !this.#registrations.isListed(endpoint.info);
+  }
+
   #intakeRequest(catalog: CatalogHolder, spec: JobSpec, timeoutMs: number) {
     const queue = catalog.current?.queues.find((q) => q.name === spec.queue);
     if (queue === undefined) throw new Error(`no queue ${spec.queue}`);
@@ -350,11 +429,13 @@
     const spec = parsed && this.jobSpecs.get(parsed.job);
     const step: StepSpec | undefined = spec?.steps[parsed?.ref.step ?? -1];
     if (spec === undefined || step === undefined) return undefined;
+    const { workFactor = 1, longShare = 0 } = this.options;
     const random = mulberry32(fnv1a32(`${this.options.seed} ${task}`));
-    const factor = this.options.workFactor ?? 1;
-    const durationMs = factor * step.estimateMs * (0.5 + random());
+    const usualMs = step.estimateMs * (0.5 + random()) * workFactor;
     const alwaysFails = spec.payload === "poison";
     const failureCount = Math.floor(random() * 1.3);
+    const isLong = random() < longShare;
+    const durationMs = isLong ? longTaskFactor * usualMs : usualMs;
     return {
       step,
       durationMs,
--- a/sim/model_endpoint.ts
+++ b/sim/model_endpoint.ts
@@ -109,6 +109,15 @@
     return !this.isIsolated && !this.isDisconnected;
   }
 
+  /** CPU that no run uses, in thousandths of a core. */
+  get freeCpuMillis(): number {
+    const usedCpuMillis = [...this.runs.values()].reduce(
+      (sum, run) => sum + run.model.step.demand.cpuMillis,
+      0,
+    );
+    return this.info.capacity.cpuMillis - usedCpuMillis;
+  }
+
   /** Names of the long-running tasks that are available here. */
   get availableTasks(): readonly string[] {
     const available = [...this.runs.values()].filter((r) =>
@@ -301,12 +310,7 @@
 
   /** Whether enough CPU is free for one more task of a step. */
   #hasCapacity(step: StepSpec): boolean {
-    const usedCpuMillis = [...this.runs.values()].reduce(
-      (sum, run) => sum + run.model.step.demand.cpuMillis,
-      0,
-    );
-    const { capacity } = this.info;
-    return usedCpuMillis + step.demand.cpuMillis <= capacity.cpuMillis;
+    return step.demand.cpuMillis <= this.freeCpuMillis;
   }
 
   #doneOutcome(): OrderOutcome {
--- a/sim/model_registrations.ts
+++ b/sim/model_registrations.ts
@@ -91,6 +91,13 @@
     this.#write(info.id, JSON.stringify(info));
   }
 
+  /** Whether the endpoint's row is as it has written it. */
+  isListed(info: TaskEndpoint): boolean {
+    const row = this.store.table(registrationTable)
+      .find(({ key }) => key === info.id);
+    return row?.value === JSON.stringify(info);
+  }
+
   /** Removes the endpoint's row. */
   unregister({ id }: TaskEndpoint): void {
     this.#write(id, undefined);
--- a/sim/model_store.ts
+++ b/sim/model_store.ts
@@ -105,6 +105,13 @@
     this.#behaviors.set(entry, behavior);
   }
 
+  /** Whether it serves all entries at its usual pace. */
+  get isUndisturbed(): boolean {
+    const serves = [...this.#behaviors.values()]
+      .every((each) => each === "serves");
+    return serves && this.delayFactor === 1 && this.lostAnswerShare === 0;
+  }
+
   /** Drops the change history; feeds from older versions fail as expired. */
   compact(): void {
     this.#history = [];
--- a/sim/oracle.ts
+++ b/sim/oracle.ts
@@ -133,13 +133,13 @@
     const [id, , step] = task.split(".");
     const record = this.#jobs.get(id);
     if (record === undefined || record.job.payload !== payload) {
-      this.#report("UNASKED", `${task} run ${run} belongs to no submitted job`);
+      this.report("UNASKED", `${task} run ${run} belongs to no submitted job`);
       return;
     }
     const runs = this.#runs.get(task) ?? [];
     this.#runs.set(task, runs);
     for (const other of runs.filter((r) => r.endedAt === undefined)) {
-      this.#report(
+      this.report(
         "TWICE",
         `${task} run ${run} on ${endpoint} started during run ${other.run} ` +
           `on ${other.endpoint}`,
@@ -151,7 +151,7 @@
       cancelledAt !== undefined &&
       this.now() > cancelledAt + cancellationGraceMs
     ) {
-      this.#report(
+      this.report(
         "UNASKED",
         `${task} run ${run} started after its cancellation`,
       );
@@ -223,7 +223,7 @@
     this.counts.hostOrders++;
     const highestTerm = this.#hostTerms.get(host) ?? 0;
     if (term < highestTerm) {
-      this.#report(
+      this.report(
         "ONE",
         `${host}: order of term ${term} after term ${highestTerm}`,
       );
@@ -241,6 +241,19 @@
     return this.#runs.get(task) ?? [];
   }
 
+  /** Ids of the accepted jobs whose cancellation no caller has sent. */
+  openJobs(): readonly string[] {
+    return [...this.#jobs.values()]
+      .filter(({ isAccepted, isCancelSent }) => isAccepted && !isCancelSent)
+      .map(({ job }) => job.id);
+  }
+
+  /** Reports that a rule was broken now. */
+  report(rule: string, text: string): void {
+    const seconds = (this.now() / 1_000).toFixed(3);
+    this.violations.push(`${rule} at ${seconds} s: ${text}`);
+  }
+
   /**
    * Checks the state after all work has ended. `phases` gives the phase of each
    * job as reported to a caller; undefined for a job that is not known.
@@ -248,7 +261,7 @@
   checkFinalState(phases: ReadonlyMap<string, string | undefined>): void {
     for (const [id, record] of this.#jobs) {
       const found = finalViolations(record, phases.get(id), this.#runs);
-      for (const { rule, text } of found) this.#report(rule, text);
+      for (const { rule, text } of found) this.report(rule, text);
     }
   }
 
@@ -259,7 +272,7 @@
       for (let i = 0; i < job.steps[predecessor].count; i++) {
         const predecessorTask = `${id}.${occurrence}.${predecessor}.${i}`;
         if (this.#isDone(predecessorTask)) continue;
-        this.#report(
+        this.report(
           "ORDER",
           `${task} started before ${predecessorTask} was done`,
         );
@@ -304,7 +317,7 @@
       if (isUnavailable(`${id}.${occurrence}.${step}.${i}`)) unavailableCount++;
     }
     if (unavailableCount >= spec.maxUnavailable) {
-      this.#report(
+      this.report(
         "AVAIL",
         `${task} ended with ${unavailableCount} others unavailable`,
       );
@@ -338,9 +351,4 @@
   #isDone(task: string): boolean {
     return this.#runs.get(task)?.some((r) => r.end === "done") ?? false;
   }
-
-  #report(rule: string, text: string): void {
-    const seconds = (this.now() / 1_000).toFixed(3);
-    this.violations.push(`${rule} at ${seconds} s: ${text}`);
-  }
 }
