Model gangs, orders that are kept on their way, and restarts before a cut

Orders that took effect late ended with the incarnation that they had reached; now some are kept on their way for seconds and reach whichever one is up. Gangs work only together. New actions: restart-cut and keep. No test draws them yet.

--- a/sim/actions.ts
+++ b/sim/actions.ts
@@ -43,6 +43,24 @@
   | { readonly kind: "crash"; readonly host: number; readonly downMs: number }
   /** Restarts an endpoint under its id and address after `downMs`. */
   | { readonly kind: "restart"; readonly host: number; readonly downMs: number }
+  /**
+   * Restarts an endpoint under its id while its connections fall silent, and cuts
+   * it off for `cutMs` from `cutAfterMs` after its return. Kills the owner of its
+   * pool at the return if `killsOwner`.
+   */
+  | {
+    readonly kind: "restart-cut";
+    readonly host: number;
+    readonly downMs: number;
+    readonly cutAfterMs: number;
+    readonly cutMs: number;
+    readonly killsOwner: boolean;
+  }
+  /**
+   * Keeps a share of the orders on their way for some seconds, so that they may
+   * reach another incarnation.
+   */
+  | { readonly kind: "keep"; readonly share: number; readonly ms: number }
   /** Disconnects an endpoint whose tasks keep running. */
   | { readonly kind: "cut"; readonly host: number; readonly downMs: number }
   /** Leaves a share of the orders unanswered; they take effect late. */
@@ -75,6 +93,21 @@
   /** Requests a maintenance wave over the first `hosts` hosts. */
   | { readonly kind: "wave"; readonly hosts: number };
 
+/** A cut that follows the restart of an endpoint. */
+type RestartCut = Extract<Action, { readonly kind: "restart-cut" }>;
+
+/** Shortest time for which an order is kept on its way, in ms. */
+const minKeptMs = 2_000;
+
+/** Longest time for which an order is kept on its way, in ms. */
+const maxKeptMs = 6_000;
+
+/** Time for which the row of an endpoint that is cut off stays, in ms. */
+const rowKeptMs = 3_000;
+
+/** Time after which an owner that is killed at a restart starts again, in ms. */
+const ownerDownMs = 300;
+
 /** Performs actions, one after another, on a simulation. */
 export class ActionRunner {
   #jobCount = 0;
@@ -103,14 +136,9 @@
       case "wait":
         await sim.advance(action.ms);
         break;
-      case "kill": {
-        const name = this.#entryName(action.entry);
-        sim.killEntry(name);
-        clock.after(action.downMs, () => {
-          if (sim.entries.get(name)?.process.isDead) sim.startEntry(name);
-        });
+      case "kill":
+        this.#killEntry(this.#entryName(action.entry), action.downMs);
         break;
-      }
       case "freeze": {
         const process = sim.entries.get(this.#entryName(action.entry))?.process;
         process?.pause();
@@ -140,6 +168,12 @@
       case "restart":
         sim.restartEndpoint(action.host, action.downMs);
         break;
+      case "restart-cut":
+        this.#restartAndCut(action);
+        break;
+      case "keep":
+        this.#keepOrders(action.share, action.ms);
+        break;
       case "cut":
         sim.isolateHost(action.host, action.downMs);
         break;
@@ -184,6 +218,36 @@
     sim.submit(spec, this.#entryName(jobNumber));
   }
 
+  #killEntry(name: string, downMs: number): void {
+    const { sim } = this;
+    sim.killEntry(name);
+    sim.clock.after(downMs, () => {
+      if (sim.entries.get(name)?.process.isDead) sim.startEntry(name);
+    });
+  }
+
+  #restartAndCut(action: RestartCut): void {
+    const { sim } = this;
+    const { host, downMs, cutAfterMs, cutMs, killsOwner } = action;
+    const { pool } = sim.hosts[host % sim.hosts.length];
+    sim.restartEndpoint(host, downMs, true);
+    sim.clock.after(downMs, () => {
+      const owner = sim.ownerOf(pool);
+      if (killsOwner && owner !== undefined) {
+        this.#killEntry(owner, ownerDownMs);
+      }
+    });
+    sim.clock.after(downMs + cutAfterMs, () => {
+      sim.cutOffHost(host, cutMs, rowKeptMs);
+    });
+  }
+
+  #keepOrders(share: number, ms: number): void {
+    const { sim } = this;
+    sim.keptOrders = { share, minMs: minKeptMs, maxMs: maxKeptMs };
+    sim.clock.after(ms, () => sim.keptOrders = undefined);
+  }
+
   #restartGracefully(name: string): void {
     const { sim } = this;
     const entry = sim.entries.get(name);
--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -17,8 +17,9 @@
 import { LostWatch } from "./lost_watch.ts";
 import { ModelAdvisor } from "./model_advisor.ts";
 import type { ModelEndpoint, TaskModel } from "./model_endpoint.ts";
+import { ModelGangs } from "./model_gangs.ts";
 import { type ModelHost, ModelHosts } from "./model_hosts.ts";
-import { ModelOrders } from "./model_orders.ts";
+import { type KeptOrders, ModelOrders } from "./model_orders.ts";
 import {
   type ForeignRowKind,
   ModelRegistrations,
@@ -110,6 +111,7 @@
         oracle: this.oracle,
         clockDrift,
         modelOf: (task) => this.#taskModel(task),
+        gangs: new ModelGangs(this.clock),
       },
       this.#registrations,
       this.random,
@@ -185,6 +187,13 @@
     service.start();
   }
 
+  /** Name of the entry that owns a pool's shard, as its row says. */
+  ownerOf(pool: string): string | undefined {
+    const row = this.store.table("owner")
+      .find(({ partition }) => partition === pool);
+    return row === undefined ? undefined : JSON.parse(row.value).entry;
+  }
+
   /** Kills an entry's process without a shutdown. */
   killEntry(name: string): void {
     this.entries.get(name)?.process.kill();
@@ -341,12 +350,18 @@
     this.#hosts.network.maxExtraDelayMs = ms;
   }
 
+  /** Orders of all entries that are kept on their way; undefined for none. */
+  set keptOrders(kept: KeptOrders | undefined) {
+    this.#hosts.network.kept = kept;
+  }
+
   /** Ends all disturbances, and restarts or resumes all entries. */
   endDisturbances(): void {
     this.store.lostAnswerShare = 0;
     this.store.delayFactor = 1;
     this.lateShare = 0;
     this.maxOrderDelayMs = 0;
+    this.keptOrders = undefined;
     this.#hosts.writeOwnRows();
     for (const entry of this.entries.values()) {
       this.store.setBehavior(entry.name, "serves");
@@ -394,8 +409,9 @@
   /** Whether entries, store, network, endpoints or their rows are disturbed. */
   #isDisturbed(): boolean {
     const entries = [...this.entries.values()];
-    const { maxExtraDelayMs } = this.#hosts.network;
-    return !this.store.isUndisturbed || maxExtraDelayMs > 0 ||
+    const { maxExtraDelayMs, kept } = this.#hosts.network;
+    const isDelayed = maxExtraDelayMs > 0 || kept !== undefined;
+    return !this.store.isUndisturbed || isDelayed ||
       entries.some(({ process }) => process.isDead || process.isPaused) ||
       entries.some(({ orders }) => orders.lateShare > 0) ||
       this.hosts.some((host) => this.#isHostDisturbed(host));
--- a/sim/model_endpoint.ts
+++ b/sim/model_endpoint.ts
@@ -17,6 +17,7 @@
 } from "../src/endpoint/index.ts";
 import type { StepSpec } from "../src/batch/index.ts";
 import { EndedRuns } from "./ended_runs.ts";
+import type { GangMember, ModelGangs } from "./model_gangs.ts";
 import type { BatchOracle } from "./oracle.ts";
 import type { VirtualClock } from "./virtual_clock.ts";
 
@@ -47,6 +48,8 @@
   readonly model: TaskModel;
   readonly startedAt: number;
   isStopping: boolean;
+  /** Its part in a gang; undefined if it works by itself. */
+  member?: GangMember;
 }
 
 /** What an incarnation uses of the simulation. */
@@ -56,6 +59,7 @@
   /** Share by which the endpoint's own clock runs slow. */
   readonly clockDrift: number;
   readonly modelOf: (task: string) => TaskModel | undefined;
+  readonly gangs: ModelGangs;
 }
 
 /** Key of a run; several runs of one task may be active at once. */
@@ -138,7 +142,9 @@
   crash(): void {
     for (const run of this.runs.values()) this.#reportEnd(run, "lost");
     this.isUp = false;
+    const ended = [...this.runs.values()];
     this.runs.clear();
+    for (const run of ended) this.#leaveGang(run);
     this.#answerPendingHolds();
   }
 
@@ -241,16 +247,35 @@
     const { clock, oracle } = this.environment;
     const { task, run, payload } = order;
     const startedAt = clock.now();
-    const activeRun = { task, run, model, startedAt, isStopping: false };
+    const activeRun: ActiveRun = {
+      task,
+      run,
+      model,
+      startedAt,
+      isStopping: false,
+    };
     this.runs.set(runKey(task, run), activeRun);
     oracle.runStarted(task, run, this.info.id, payload);
-    if (!model.step.longRunning) {
+    if (model.step.gang) this.#joinGang(activeRun);
+    else if (!model.step.longRunning) {
       const end = model.fails(run) ? "failed" : "done";
       clock.after(model.durationMs, () => this.#endRun(activeRun, end));
     }
     this.#scheduleLeaseCheck();
   }
 
+  #joinGang(run: ActiveRun): void {
+    const { task, model } = run;
+    const end = (kind: EndKind) => this.#endRun(run, kind);
+    run.member = { task, run: run.run, end };
+    const { durationMs, step: { count } } = model;
+    this.environment.gangs.join(run.member, { count, durationMs });
+  }
+
+  #leaveGang({ member }: ActiveRun): void {
+    if (member !== undefined) this.environment.gangs.leave(member);
+  }
+
   #endRun(run: ActiveRun, end: EndKind): void {
     const key = runKey(run.task, run.run);
     if (!this.isUp || this.runs.get(key) !== run) return;
@@ -259,6 +284,7 @@
     this.#raiseHighestOverRun(run.task, run.run);
     this.#endedRuns.add(run.task, run.run, end);
     this.#answerPendingHolds();
+    this.#leaveGang(run);
   }
 
   #reportEnd(run: ActiveRun, end: EndKind | "lost"): void {
--- a/sim/model_orders.ts
+++ b/sim/model_orders.ts
@@ -25,6 +25,19 @@
 /** Longest delay of an order that takes effect late, in ms. */
 const maxLateDelayMs = 4_000;
 
+/**
+ * Orders that something on the way keeps: the sender gets no answer, and
+ * whichever incarnation is up at the address some time later carries them out.
+ */
+export interface KeptOrders {
+  /** Share of start and stop orders that are kept. */
+  readonly share: number;
+  /** Shortest time from the sending to the delivery, in ms. */
+  readonly minMs: number;
+  /** Longest time from the sending to the delivery, in ms. */
+  readonly maxMs: number;
+}
+
 /** Share of orders to an endpoint that is down whose sender learns of it. */
 const refusedShare = 0.5;
 
@@ -38,6 +51,8 @@
    * and answers overtake each other.
    */
   maxExtraDelayMs = 0;
+  /** Orders that are kept on their way; undefined for none. */
+  kept: KeptOrders | undefined;
   /** Deliveries that wait for an endpoint to be up at an address. */
   readonly #waiting = new Map<string, (() => void)[]>();
 
@@ -54,6 +69,13 @@
     return minOneWayDelayMs + this.random() * this.maxExtraDelayMs;
   }
 
+  /** Draws for how long an order is kept, in ms; undefined if it is not. */
+  drawKeptMs(): number | undefined {
+    const { kept, random } = this;
+    if (kept === undefined || random() >= kept.share) return undefined;
+    return kept.minMs + random() * (kept.maxMs - kept.minMs);
+  }
+
   /** Calls `deliver` once an endpoint boots at an address. */
   awaitBoot(address: string, deliver: () => void): void {
     const waiting = this.#waiting.get(address) ?? [];
@@ -179,13 +201,15 @@
 
   /**
    * Sends a start or a stop. An order that takes effect late has reached one
-   * incarnation, and ends with it.
+   * incarnation, and ends with it; one that is kept on its way has reached none.
    */
   #sendOrder(
     to: TaskEndpoint,
     handle: (endpoint: ModelEndpoint, isLate: boolean) => OrderOutcome,
   ): Promise<OrderOutcome> {
     const { clock, random } = this.network;
+    const keptMs = this.network.drawKeptMs();
+    if (keptMs !== undefined) return this.#keepOrder(to, keptMs, handle);
     return this.#call<OrderOutcome>(to, orderTimeoutMs, (endpoint) => {
       if (random() >= this.lateShare) {
         return Promise.resolve(handle(endpoint, false));
@@ -197,6 +221,26 @@
     });
   }
 
+  /** Delivers an order after `keptMs`, if an endpoint with its id is up then. */
+  #keepOrder(
+    to: TaskEndpoint,
+    keptMs: number,
+    handle: (endpoint: ModelEndpoint, isLate: boolean) => OrderOutcome,
+  ): Promise<OrderOutcome> {
+    const { clock } = this.network;
+    clock.after(keptMs, () => {
+      const endpoint = this.network.endpointAt(to.address);
+      if (endpoint?.isReachable && endpoint.info.id === to.id) {
+        handle(endpoint, true);
+      }
+    });
+    return this.#call<OrderOutcome>(
+      to,
+      orderTimeoutMs,
+      () => new Promise(() => {}),
+    );
+  }
+
   #call<T>(
     to: TaskEndpoint,
     timeoutMs: number,
--- a/test/sim/lost_watch_test.ts
+++ b/test/sim/lost_watch_test.ts
@@ -6,6 +6,7 @@
 import { makeJob } from "../../sim/jobs.ts";
 import { LostWatch } from "../../sim/lost_watch.ts";
 import { ModelEndpoint } from "../../sim/model_endpoint.ts";
+import { ModelGangs } from "../../sim/model_gangs.ts";
 import { BatchOracle } from "../../sim/oracle.ts";
 import { VirtualClock } from "../../sim/virtual_clock.ts";
 
@@ -41,7 +42,8 @@
     };
     const oracle = new BatchOracle(() => clock.now(), () => false);
     const modelOf = () => undefined;
-    const environment = { clock, oracle, clockDrift: 0, modelOf };
+    const gangs = new ModelGangs(clock);
+    const environment = { clock, oracle, clockDrift: 0, modelOf, gangs };
     endpoints.push(new ModelEndpoint(info, environment));
   }
 
--- a/test/sim/many_entries_test.ts
+++ b/test/sim/many_entries_test.ts
@@ -23,7 +23,9 @@
 
 describe("a fleet with many entries", () => {
   it("completes every job with only the candidates active", async () => {
-    const { violations, sim } = await runSimulation(1, jobs, entryCount);
+    const { violations, sim } = await runSimulation(1, jobs, {
+      entries: entryCount,
+    });
     assert.deepEqual(violations, []);
     assert.ok(sim.oracle.counts.done > 0);
     const idleCount = logLines(sim, "member-idle").length;
--- a/test/sim/model_endpoint_test.ts
+++ b/test/sim/model_endpoint_test.ts
@@ -4,6 +4,7 @@
 import { plainStep } from "../../sim/jobs.ts";
 import { ModelEndpoint } from "../../sim/model_endpoint.ts";
 import { ModelNetwork, ModelOrders } from "../../sim/model_orders.ts";
+import { ModelGangs } from "../../sim/model_gangs.ts";
 import { BatchOracle } from "../../sim/oracle.ts";
 import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
 
@@ -46,6 +47,7 @@
       clock,
       oracle: new BatchOracle(() => clock.now(), () => false),
       clockDrift: 0,
+      gangs: new ModelGangs(clock),
       modelOf: () => model,
     });
   }
--- a/test/sim/run_simulation.ts
+++ b/test/sim/run_simulation.ts
@@ -9,6 +9,17 @@
  */
 const drainMs = 40_000;
 
+/** Further time in which long tasks end, in ms. */
+const longDrainMs = 30_000;
+
+/** Settings of a run that differ from the default. */
+export interface RunOptions {
+  /** Number of entries; default 3. */
+  readonly entries?: number;
+  /** Share of tasks that take twelve times as long as others; default 0. */
+  readonly longShare?: number;
+}
+
 /** Outcome of a finished simulation. */
 export interface SimulationResult {
   readonly violations: readonly string[];
@@ -22,13 +33,15 @@
 export async function runSimulation(
   seed: number,
   actions: readonly Action[],
-  entries = 3,
+  { entries = 3, longShare = 0 }: RunOptions = {},
 ): Promise<SimulationResult> {
-  const sim = await settledSimulation({ seed, entries });
+  const sim = await settledSimulation({ seed, entries, longShare });
+  const watch = sim.watchLost();
   const runner = new ActionRunner(sim);
   for (const action of actions) await runner.perform(action);
+  watch.endTraffic();
   sim.endDisturbances();
-  await sim.advance(drainMs);
+  await sim.advance(longShare > 0 ? drainMs + longDrainMs : drainMs);
   const violations = await sim.finish();
   endSimulation(sim);
   return { violations, sim };
