--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -283,7 +283,7 @@
   /**
    * Cuts the endpoint of a host off from the entries and the store for `ms`. Its
    * tasks keep running, and its row stays for `rowKeptMs`, as it goes only after
-   * missed heartbeats.
+   * missed heartbeats. It writes its row again when the cut ends.
    */
   cutOffHost(index: number, ms: number, rowKeptMs: number): void {
     const { endpoint } = this.hosts[index % this.hosts.length];
@@ -292,10 +292,8 @@
     this.clock.after(ms, () => {
       endpoint.isIsolated = false;
     });
-    if (rowKeptMs >= ms) return;
-    this.clock.after(rowKeptMs, () => {
-      this.#hosts.unlist(index, ms - rowKeptMs);
-    });
+    const keptMs = Math.min(ms, rowKeptMs);
+    this.clock.after(keptMs, () => this.#hosts.unlist(index, ms - keptMs));
   }
 
   /** Removes the registration of an endpoint for `ms`, though it lives. */
