Say which incarnation has acknowledged a start (TWICE)

A run whose start a later incarnation had carried out was recorded as acknowledged beside the earlier one's life. The next owner then took that life's age for the age of the lease, and reckoned with 5.2 s, although the later incarnation had granted the longest lease by the earlier one's clock: the task ran twice for half a second.

The mark names the incarnation that has listed or answered, in the placement's life.

--- a/src/batch/progress.ts
+++ b/src/batch/progress.ts
@@ -222,19 +222,20 @@
 }
 
 /**
- * Records that the endpoint has acknowledged the start of a task's run. Returns
- * the progress unchanged if that is recorded, or the task has no such run.
+ * Records that an incarnation of the endpoint has acknowledged the start of a
+ * task's run. It may be a later one than the start was meant for. Returns the
+ * progress unchanged if that is recorded, or the task has no such run.
  */
 export function acknowledgeRun(
   p: JobProgress,
   ref: TaskRef,
-  run: number,
+  { run, life }: Pick<Placement, "run" | "life">,
 ): JobProgress {
   const task = taskAt(p, ref);
   const placement = task?.placement;
   if (task === undefined || placement?.run !== run) return p;
-  if (placement.isAcknowledged) return p;
-  const acknowledged = { ...placement, isAcknowledged: true };
+  if (placement.isAcknowledged && placement.life === life) return p;
+  const acknowledged = { ...placement, life, isAcknowledged: true };
   return withTask(p, ref, { ...task, placement: acknowledged });
 }
 
--- a/src/scheduler/run_recorder.ts
+++ b/src/scheduler/run_recorder.ts
@@ -78,21 +78,25 @@
    * Records the acknowledgements of the runs of a session, so that a later owner
    * knows them. They are stored with the next commit, whatever it is made for.
    */
-  recordAcknowledgements({ runs }: Pick<EndpointSession, "runs">): void {
+  recordAcknowledgements(
+    { runs, endpoint }: Pick<EndpointSession, "runs" | "endpoint">,
+  ): void {
     const now = this.deps.clock.now();
     for (const run of runs.values()) {
       if (!run.isAcknowledged || run.isAcknowledgementRecorded) continue;
       const isDue = now - run.phaseChangedAt >= recordedAfterMs;
-      if (isDue || run.step.longRunning) this.#recordAcknowledgement(run, now);
+      if (!isDue && !run.step.longRunning) continue;
+      this.#recordAcknowledgement(run, endpoint.life, now);
     }
   }
 
-  #recordAcknowledgement(run: Run, now: number): void {
+  #recordAcknowledgement(run: Run, life: number, now: number): void {
     run.isAcknowledgementRecorded = true;
     const { jobs } = this.deps;
     const job = jobs.byId.get(run.job);
     if (job === undefined) return;
-    jobs.update(job, acknowledgeRun(job.progress, run.ref, run.run), now);
+    const acknowledged = { run: run.run, life };
+    jobs.update(job, acknowledgeRun(job.progress, run.ref, acknowledged), now);
   }
 
   /**
--- a/test/batch/progress_test.ts
+++ b/test/batch/progress_test.ts
@@ -194,7 +194,10 @@
     const placed = place(openFirst(chain), chain);
 
     it("says so until the run ends", () => {
-      const acknowledged = acknowledgeRun(placed, firstTask, 1);
+      const acknowledged = acknowledgeRun(placed, firstTask, {
+        run: 1,
+        life: 1,
+      });
       const { placement } = taskAt(acknowledged, firstTask) ?? {};
       assert.equal(placement?.isAcknowledged, true);
       const ended = recordRunEnd(acknowledged, chain, firstTask, 1, "lost");
@@ -203,7 +206,18 @@
     });
 
     it("says nothing of another run", () => {
-      assert.equal(acknowledgeRun(placed, firstTask, 2), placed);
+      const other = { run: 2, life: 1 };
+      assert.equal(acknowledgeRun(placed, firstTask, other), placed);
+    });
+
+    // Guards against TWICE: a run that a later incarnation had carried out counted
+    // as acknowledged by the one that its start was meant for.
+    it("names the incarnation that has acknowledged it", () => {
+      const later = { run: 1, life: 2 };
+      const acknowledged = acknowledgeRun(placed, firstTask, later);
+      const { placement } = taskAt(acknowledged, firstTask) ?? {};
+      assert.equal(placement?.life, 2);
+      assert.equal(placement?.isAcknowledged, true);
     });
   });
 
@@ -232,7 +246,7 @@
             const run = nextRunNumber(p, chain, ref);
             p = place(p, chain, ref);
             if (pick < 7) p = recordRunEnd(p, chain, ref, run, runEnd, "c");
-            else p = acknowledgeRun(p, ref, run);
+            else p = acknowledgeRun(p, ref, { run, life: 1 });
           }
           const head = encodeProgressRow(chain, p, chain.id);
           assert.deepEqual(decodeProgress({ head, parts: [] }, chain), p);
@@ -330,7 +344,7 @@
           const checkpoint = "c".repeat(254);
           p = recordRunEnd(p, wide, ref, longRun, "stopped", checkpoint);
           p = placeTask(p, ref, { run: longRun, endpoint, life: longRun });
-          p = acknowledgeRun(p, ref, longRun);
+          p = acknowledgeRun(p, ref, { run: longRun, life: longRun });
         }
         for (const key of changedRowKeys(wide, start, p)) {
           const bytes = encodeProgressRow(wide, p, key)?.length ?? 0;
--- a/test/sim/long_task_day.ts
+++ b/test/sim/long_task_day.ts
@@ -79,10 +79,16 @@
     return host;
   }
 
-  /** Kills the owner, which starts again after `downMs`. */
-  killOwner(downMs: number): void {
+  /** Name of the entry that owns the pool's shard. */
+  owner(): string {
     const owner = this.sim.ownerOf(pool);
     if (owner === undefined) throw new Error(`${pool} has no owner`);
+    return owner;
+  }
+
+  /** Kills the owner, which starts again after `downMs`. */
+  killOwner(downMs: number): void {
+    const owner = this.owner();
     this.sim.killEntry(owner);
     this.sim.clock.after(downMs, () => this.sim.startEntry(owner));
   }
