--- a/test/sim/acknowledged_starts_test.ts
+++ b/test/sim/acknowledged_starts_test.ts
@@ -2,7 +2,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { ActionRunner } from "../../sim/actions.ts";
-import type { BatchSimulation } from "../../sim/batch_simulation.ts";
 import type { JobKind } from "../../sim/jobs.ts";
 import {
   busyHosts,
@@ -19,12 +18,6 @@
  */
 const maxWaitMs = 1_350 + 1_000 + 8_400;
 
-/** Entry that owns a pool's shard. */
-function ownerOf(sim: BatchSimulation, pool: string): string {
-  const row = sim.store.table("owner").find((r) => r.partition === pool);
-  return JSON.parse(row?.value ?? "{}").entry;
-}
-
 /**
  * Crashes an endpoint for good, and its owner, `runMs` after a job was
  * submitted. Returns the number of tasks that are running after `waitMs`.
@@ -40,7 +33,7 @@
   await sim.advance(runMs);
   const [host] = busyHosts(sim);
   sim.crashHost(host, 60_000);
-  sim.killEntry(ownerOf(sim, "quotes"));
+  sim.killEntry(sim.ownerOf("quotes") ?? "");
   await sim.advance(waitMs);
   const running = busyHosts(sim)
     .reduce((sum, i) => sum + (sim.hosts[i].endpoint?.runs.size ?? 0), 0);
--- a/test/sim/restart_before_takeover_test.ts
+++ b/test/sim/restart_before_takeover_test.ts
@@ -1,7 +1,6 @@
 /** Endpoints that restart just before their owner ends and they are cut off. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { BatchSimulation } from "../../sim/batch_simulation.ts";
 import { makeJob } from "../../sim/jobs.ts";
 import {
   busyHosts,
@@ -30,12 +29,6 @@
 /** Time for which the endpoint is cut off, in ms; longer than any lease. */
 const cutMs = 12_000;
 
-/** Entry that owns a pool's shard. */
-function ownerOf(sim: BatchSimulation, pool: string): string {
-  const row = sim.store.table("owner").find((r) => r.partition === pool);
-  return JSON.parse(row?.value ?? "{}").entry;
-}
-
 interface Scenario {
   /** Time from the crash to the kill of the owner, in ms; undefined for none. */
   readonly killAfterMs: number | undefined;
@@ -70,7 +63,7 @@
   sim.restartEndpoint(host, downMs, true);
   await submitFor(killAfterMs ?? downMs);
   if (killAfterMs !== undefined) {
-    const owner = ownerOf(sim, "quotes");
+    const owner = sim.ownerOf("quotes") ?? "";
     sim.killEntry(owner);
     sim.clock.after(processRestartMs, () => sim.startEntry(owner));
   }
