--- a/src/capacity/demand_reporter.ts
+++ b/src/capacity/demand_reporter.ts
@@ -37,6 +37,14 @@
  */
 const unclaimedMs = 1_200;
 
+/**
+ * Time for which late work then counts like other work, in ms. It covers the
+ * withdrawal of the offers, also for tasks with an availability budget, and the
+ * start of the tasks that have waited for them. If it were shorter, the
+ * endpoints would be offered again before they got any task.
+ */
+const lateWorkCountsMs = 3_500;
+
 /** Dependencies of a {@link DemandReporter}. */
 export interface DemandReporterDependencies {
   readonly shard: string;
@@ -72,6 +80,8 @@
    * Monotonic time in ms since which at least one endpoint has been offered.
    */
   #offeringSince: number | undefined;
+  /** Monotonic time in ms until which late work counts like other work. */
+  #lateWorkCountsUntil = -Infinity;
 
   constructor(private readonly deps: DemandReporterDependencies) {
     this.#arrivals = new ArrivalRate(deps.runTimes);
@@ -132,14 +142,18 @@
 
   /**
    * Returns the test for occurrences that can no longer be on time, which
-   * count for less in the demand. No occurrence counts as late while offers
-   * have been unclaimed for {@link unclaimedMs}: no other pool needs the hosts.
+   * count for less in the demand. No occurrence counts as late for
+   * {@link lateWorkCountsMs} once offers have been unclaimed for
+   * {@link unclaimedMs}: no other pool needs the hosts.
    */
   #lateFilter(now: number): IsLate {
     if (this.offers.offered.length === 0) this.#offeringSince = undefined;
     else this.#offeringSince ??= now;
     const since = this.#offeringSince;
-    if (since !== undefined && now - since > unclaimedMs) return () => false;
+    if (since !== undefined && now - since > unclaimedMs) {
+      this.#lateWorkCountsUntil = now + lateWorkCountsMs;
+    }
+    if (now < this.#lateWorkCountsUntil) return () => false;
     return this.deps.createLateFilter(this.deps.clock.wall());
   }
 
