--- a/src/capacity/host_offers.ts
+++ b/src/capacity/host_offers.ts
@@ -2,7 +2,8 @@
  * Manages the endpoints whose hosts a shard offers to other pools.
  *
  * An endpoint that the pool does not need is closed to new tasks at once, and
- * offered when it is empty; until then it can be reopened at any time.
+ * offered when it is empty; until then it can be reopened at any time, and may
+ * get a task that has waited for long.
  *
  * Offers are rows in the store on which the owner of the fleet may act at any
  * time. So an endpoint whose offer was withdrawn gets tasks only some time after
@@ -49,16 +50,30 @@
     return [...this.#offered];
   }
 
+  /** Number of endpoints that are closed until they are empty. */
+  get closingCount(): number {
+    return this.#closing.size;
+  }
+
   /** Withdraws the offers that an earlier owner left in the store. */
   withdrawInherited(endpoints: readonly string[]): void {
     for (const id of endpoints) this.#withdrawn.set(id, unconfirmed);
   }
 
-  /** Returns whether an endpoint must not receive tasks. */
+  /**
+   * Returns whether an endpoint is closed to tasks other than overdue ones; see
+   * {@link isKeptEmpty}.
+   */
   isClosed(endpoint: string, now: number): boolean {
-    if (this.#offered.has(endpoint) || this.#closing.has(endpoint)) {
-      return true;
-    }
+    return this.#closing.has(endpoint) || this.isKeptEmpty(endpoint, now);
+  }
+
+  /**
+   * Returns whether an endpoint must not receive any task whatever it waits for,
+   * because its host may be moved.
+   */
+  isKeptEmpty(endpoint: string, now: number): boolean {
+    if (this.#offered.has(endpoint)) return true;
     return now < (this.#withdrawn.get(endpoint)?.anyWorkFrom ?? 0);
   }
 
--- a/src/scheduler/placer.ts
+++ b/src/scheduler/placer.ts
@@ -26,6 +26,7 @@
   planStarts,
 } from "./planner.ts";
 import { DeferredJobs } from "./deferred_jobs.ts";
+import { OverdueJobs, usageOf } from "./overdue_jobs.ts";
 import type { RunTimes } from "./run_times.ts";
 
 /** Dependencies of a {@link Placer}. */
@@ -47,6 +48,7 @@
 /** Places the waiting tasks of one shard. */
 export class Placer {
   readonly #deferredJobs: DeferredJobs;
+  readonly #overdueJobs = new OverdueJobs();
 
   constructor(private readonly deps: PlacerDependencies) {
     this.#deferredJobs = new DeferredJobs(deps);
@@ -54,14 +56,38 @@
 
   /** Runs one placement pass over the jobs that may have waiting tasks. */
   runPass(jobs: readonly TrackedJob[]): void {
-    const { clock, driver, runTimes, advisedSteps } = this.deps;
-    const sessions = driver.sessions();
+    const { driver, advisedSteps } = this.deps;
     const policy = this.#policy();
-    const planned = planStarts(jobs, sessions, policy, {
+    const deferred = this.#deferredJobs.current(jobs, driver.sessions());
+    this.#placeTasks(jobs, policy, deferred);
+    this.#placeOverdueTasks(jobs, deferred);
+    advisedSteps.refresh(jobs, driver.sessions(), policy.isClosed);
+  }
+
+  /** Places tasks of overdue jobs on endpoints that are closing. */
+  #placeOverdueTasks(
+    jobs: readonly TrackedJob[],
+    deferred: ReadonlySet<string>,
+  ): void {
+    const { clock, driver, offers } = this.deps;
+    const usage = usageOf(driver.sessions());
+    const overdue = this.#overdueJobs.select(jobs, usage, clock.now());
+    if (overdue.length === 0 || offers.closingCount === 0) return;
+    this.#placeTasks(overdue, this.#policyForOverdue(), deferred);
+  }
+
+  /** Places the waiting tasks of some jobs, as far as policy allows. */
+  #placeTasks(
+    jobs: readonly TrackedJob[],
+    policy: EndpointPolicy,
+    deferred: ReadonlySet<string>,
+  ): void {
+    const { clock, driver, runTimes } = this.deps;
+    const planned = planStarts(jobs, driver.sessions(), policy, {
       now: clock.now(),
       wall: clock.wall(),
       runTimes,
-      deferred: this.#deferredJobs.current(jobs, sessions),
+      deferred,
     });
     // The members of a gang share a run number, so all numbers are allocated
     // before the first task is placed.
@@ -69,7 +95,6 @@
       nextRunNumber(job.progress, job.spec, ref)
     );
     planned.forEach((task, i) => this.#place(task, runs[i]));
-    advisedSteps.refresh(jobs, sessions, policy.isClosed);
   }
 
   /** Combines maintenance, host offers and tickets into one policy. */
@@ -85,6 +110,17 @@
     };
   }
 
+  /** The policy for tasks that may also use endpoints that are closing. */
+  #policyForOverdue(): EndpointPolicy {
+    const { clock, offers } = this.deps;
+    const now = clock.now();
+    const vacating = this.deps.vacating();
+    return {
+      ...this.#policy(),
+      isClosed: (id: string) => vacating.has(id) || offers.isKeptEmpty(id, now),
+    };
+  }
+
   /** Records the intended run, and starts it once the record is committed. */
   #place({ job, ref, endpoint: id }: PlannedTask, run: number): void {
     const { clock, driver, jobs, advisedSteps, commits } = this.deps;
