Log closing endpoints and the used share of a pool

`pool-demand` told only of offered endpoints, so the log of a pool whose jobs wait beside closing ones looked like that of a full pool. It now has `closing` and `usedShare`, and is also written when the first endpoint closes or none does any more.

Evidence: closed_endpoints_test reads the line of a pool of 12 endpoints with a small task each: want 2, closing 10, usedShare 0.06.

--- a/src/capacity/demand_reporter.ts
+++ b/src/capacity/demand_reporter.ts
@@ -14,7 +14,7 @@
   poolDemandKey,
   poolDemandSchema,
 } from "./pool_demand.ts";
-import type { IsLate, PoolEndpoint, RunTimeEstimates } from "./pool_state.ts";
+import type { IsLate, RunTimeEstimates } from "./pool_state.ts";
 
 /** Minimum time between two writes of the demand row, in ms. */
 const minWriteIntervalMs = 180;
@@ -64,6 +64,14 @@
   extends Pick<HostDemandInput, "jobs" | "endpoints" | "knownHosts"> {
   /** Hosts that are needed whatever the size of the jobs. */
   readonly minHosts: number;
+  /** Share of the open endpoints' CPU or memory that tasks use, 0 to 1. */
+  readonly usedShare: number;
+}
+
+/** What a `pool-demand` decision tells of the pool. */
+interface LoggedDemand extends Pick<PoolReport, "endpoints" | "usedShare"> {
+  readonly want: number;
+  readonly arrivingCpuMillis: number;
 }
 
 /** Computes the host demand of one shard and writes it to the store. */
@@ -76,6 +84,8 @@
   #writtenAt = -Infinity;
   /** Number of hosts in the last `pool-demand` decision. */
   #loggedWant = 0;
+  /** Whether endpoints were closing in that decision. */
+  #loggedClosing = false;
   /**
    * Monotonic time in ms since which at least one endpoint has been offered.
    */
@@ -111,7 +121,7 @@
   /**
    * Computes the demand, and writes it when it has changed.
    */
-  report({ minHosts, ...pool }: PoolReport): void {
+  report({ minHosts, usedShare, ...pool }: PoolReport): void {
     const { endpoints } = pool;
     const { clock, shard } = this.deps;
     const now = clock.now();
@@ -125,7 +135,7 @@
     });
     const want = Math.max(hostsForJobs, minHosts);
     this.offers.adjust(endpoints, want);
-    this.#logChange(want, endpoints, arrivingCpuMillis);
+    this.#logChange({ want, endpoints, arrivingCpuMillis, usedShare });
     const silent = endpoints
       .filter((each) => each.silentMs >= unresponsiveMs)
       .map((each) => each.id);
@@ -157,19 +167,25 @@
     return this.deps.createLateFilter(this.deps.clock.wall());
   }
 
-  /** Logs the demand when the number of wanted hosts has changed. */
+  /**
+   * Logs the demand when the number of wanted hosts has changed, and when the
+   * first endpoint closes or none does any more.
+   */
   #logChange(
-    want: number,
-    endpoints: readonly PoolEndpoint[],
-    arrivingCpuMillis: number,
+    { want, endpoints, arrivingCpuMillis, usedShare }: LoggedDemand,
   ): void {
-    if (want === this.#loggedWant) return;
+    const { offered, closingCount } = this.offers;
+    const isClosing = closingCount > 0;
+    if (want === this.#loggedWant && isClosing === this.#loggedClosing) return;
     this.#loggedWant = want;
+    this.#loggedClosing = isClosing;
     this.deps.log.decision("pool-demand", {
       shard: this.deps.shard,
       want,
       endpoints: endpoints.filter((each) => each.isOpen).length,
-      offered: this.offers.offered.length,
+      offered: offered.length,
+      closing: closingCount,
+      usedShare: Math.round(usedShare * 100) / 100,
       arrivingCpu: Math.round(arrivingCpuMillis),
     });
   }
--- a/src/scheduler/overdue_jobs.ts
+++ b/src/scheduler/overdue_jobs.ts
@@ -16,8 +16,8 @@
   reservedResources,
   type Resources,
 } from "../batch/index.ts";
-import type { EndpointSession } from "./endpoint_session.ts";
 import type { TrackedJob } from "./job_registry.ts";
+import { type PoolUsage, usedShare } from "./pool_usage.ts";
 
 /**
  * Time after which a job of which a task waits and none runs may use closing
@@ -31,33 +31,6 @@
  */
 const maxUsedShare = 0.6;
 
-/** Resources of a pool's open endpoints. */
-export interface PoolUsage {
-  readonly capacity: Resources;
-  /** Part of the capacity that tasks reserve. */
-  readonly used: Resources;
-}
-
-/** Adds up the endpoints on which tasks may be placed, closed ones included. */
-export function usageOf(sessions: Iterable<EndpointSession>): PoolUsage {
-  let capacity = noResources;
-  let used = noResources;
-  for (const session of sessions) {
-    if (!session.isOpen) continue;
-    capacity = addResources(capacity, session.endpoint.capacity);
-    used = addResources(used, session.used);
-  }
-  return { capacity, used };
-}
-
-/** Returns the share of a pool in use, of CPU or memory, whichever is larger. */
-export function usedShare({ capacity, used }: PoolUsage): number {
-  return Math.max(
-    used.cpuMillis / Math.max(1, capacity.cpuMillis),
-    used.memoryMb / Math.max(1, capacity.memoryMb),
-  );
-}
-
 /** Returns the resources of the waiting tasks of a job that could start. */
 function waitingResources({ progress, spec }: TrackedJob): Resources {
   return readySteps(progress, spec)
--- a/src/scheduler/placer.ts
+++ b/src/scheduler/placer.ts
@@ -26,7 +26,8 @@
   planStarts,
 } from "./planner.ts";
 import { DeferredJobs } from "./deferred_jobs.ts";
-import { OverdueJobs, usageOf } from "./overdue_jobs.ts";
+import { OverdueJobs } from "./overdue_jobs.ts";
+import { usageOf } from "./pool_usage.ts";
 import type { RunTimes } from "./run_times.ts";
 
 /** Dependencies of a {@link Placer}. */
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -34,6 +34,7 @@
 import { ShardLoader } from "./shard_loader.ts";
 import type { ShardDependencies } from "./shard_dependencies.ts";
 import { ShardReports } from "./shard_reports.ts";
+import { usageOf, usedShare } from "./pool_usage.ts";
 import { Placer } from "./placer.ts";
 import { PassTimer } from "./pass_timer.ts";
 import { RunTimes } from "./run_times.ts";
@@ -313,6 +314,7 @@
       endpoints: this.#poolEndpoints(now),
       knownHosts: this.#knownHosts(),
       minHosts: this.#advisedSteps.requiredHosts,
+      usedShare: usedShare(usageOf(this.driver.sessions())),
     });
     this.#renewLease();
     this.requestPass();
--- a/test/capacity/demand_reporter_test.ts
+++ b/test/capacity/demand_reporter_test.ts
@@ -52,7 +52,7 @@
   const jobs = Array.from({ length: count }, (_, i) => waitingJob(i));
   const knownHosts = [endpoints[0].capacity];
   for (let passed = 0; passed < ms; passed += reportIntervalMs) {
-    reporter.report({ jobs, endpoints, knownHosts, minHosts: 0 });
+    reporter.report({ jobs, endpoints, knownHosts, minHosts: 0, usedShare: 0 });
     look(reporter, clock.now());
     await clock.advance(reportIntervalMs);
     await clock.flush();
--- a/test/scheduler/closed_endpoints_test.ts
+++ b/test/scheduler/closed_endpoints_test.ts
@@ -7,6 +7,7 @@
 import type { JobSpec } from "../../src/batch/index.ts";
 import {
   createPool,
+  endpointCount,
   jobOf,
   jobsOf,
   leaveOneTaskEach,
@@ -74,6 +75,18 @@
       pool.owner.stop();
     });
 
+    it("logs how many endpoints are closing, and how much is in use", async () => {
+      const pool = await createPool();
+      await leaveOneTaskEach(pool);
+      const logged = pool.decisions
+        .findLast(({ event }) => event === "pool-demand")?.fields;
+      assert.equal(logged?.want, 2);
+      assert.equal(logged?.closing, endpointCount - 2);
+      // One task of 0.9 cores on each endpoint of 16.
+      assert.equal(logged?.usedShare, 0.06);
+      pool.owner.stop();
+    });
+
     it("still keeps endpoints closed while much of it is in use", async () => {
       const pool = await createPool();
       await leaveOneTaskEach(pool);
--- a/test/scheduler/overdue_jobs_test.ts
+++ b/test/scheduler/overdue_jobs_test.ts
@@ -4,12 +4,12 @@
 import { plainStep } from "../../sim/jobs.ts";
 import { placeTask } from "../../src/batch/index.ts";
 import type { TrackedJob } from "../../src/scheduler/index.ts";
+import { OverdueJobs } from "../../src/scheduler/overdue_jobs.ts";
 import {
-  OverdueJobs,
   type PoolUsage,
   usageOf,
   usedShare,
-} from "../../src/scheduler/overdue_jobs.ts";
+} from "../../src/scheduler/pool_usage.ts";
 import { openJob } from "./jobs.ts";
 import { newRun, openSession } from "./sessions.ts";
 
