--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -79,6 +79,15 @@
     return this.#sessions.get(id);
   }
 
+  /**
+   * Whether runs may be in progress at endpoints that are not in touch. The next
+   * owner would count their leases anew, and their tasks would wait for longer.
+   */
+  get hasUnsettledRuns(): boolean {
+    return this.#orphans.count > 0 ||
+      this.sessions().some((session) => session.hasUnsettledRuns);
+  }
+
   /** Stops the driver: it sends no further orders and ends its hold loops. */
   stop(): void {
     this.#isStopped = true;
--- a/src/scheduler/endpoint_session.ts
+++ b/src/scheduler/endpoint_session.ts
@@ -282,6 +282,15 @@
       this.lease.isClockKnown;
   }
 
+  /**
+   * Whether it has runs of which only the end of a lease, or an answer that is
+   * not there yet, shows what has become of them.
+   */
+  get hasUnsettledRuns(): boolean {
+    const isInTouch = this.fenced && !this.silent && !this.isDisputed;
+    return this.runs.size > 0 && !isInTouch;
+  }
+
   /** Adds a run and reserves its resources. */
   add(run: Run): void {
     this.runs.set(run.name, run);
--- a/src/scheduler/orphan_runs.ts
+++ b/src/scheduler/orphan_runs.ts
@@ -22,6 +22,11 @@
 export class OrphanRuns {
   #orphans: OrphanRun[] = [];
 
+  /** Number of the runs. */
+  get count(): number {
+    return this.#orphans.length;
+  }
+
   /** Adds a run. */
   add(orphan: OrphanRun): void {
     this.#orphans.push(orphan);
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -177,13 +177,14 @@
   }
 
   /**
-   * Whether no task waits for placement and few jobs arrive, so that a change
-   * of owner delays no job.
+   * Whether no task waits for placement or for the end of a lease, and few jobs
+   * arrive, so that a change of owner delays no job.
    */
   get isQuiet(): boolean {
-    return this.#activeJobs().every(({ progress, spec }) =>
-      readySteps(progress, spec).every((ready) => ready.waiting === 0)
-    ) && this.#demandReporter.isQuiet;
+    return !this.driver.hasUnsettledRuns &&
+      this.#activeJobs().every(({ progress, spec }) =>
+        readySteps(progress, spec).every((ready) => ready.waiting === 0)
+      ) && this.#demandReporter.isQuiet;
   }
 
   /**
