--- a/src/capacity/demand_reporter.ts
+++ b/src/capacity/demand_reporter.ts
@@ -14,7 +14,7 @@
   poolDemandKey,
   poolDemandSchema,
 } from "./pool_demand.ts";
-import type { IsLate, PoolEndpoint, RunTimeEstimates } from "./pool_state.ts";
+import type { IsLate, RunTimeEstimates } from "./pool_state.ts";
 
 /** Minimum time between two writes of the demand row, in ms. */
 const minWriteIntervalMs = 180;
@@ -37,6 +37,14 @@
  */
 const unclaimedMs = 1_200;
 
+/**
+ * Time for which late work then counts like other work, in ms. It covers the
+ * withdrawal of the offers, also for tasks with an availability budget, and the
+ * start of the tasks that have waited for them. If it were shorter, the
+ * endpoints would be offered again before they got any task.
+ */
+const lateWorkCountsMs = 3_500;
+
 /** Dependencies of a {@link DemandReporter}. */
 export interface DemandReporterDependencies {
   readonly shard: string;
@@ -56,6 +64,14 @@
   extends Pick<HostDemandInput, "jobs" | "endpoints" | "knownHosts"> {
   /** Hosts that are needed whatever the size of the jobs. */
   readonly minHosts: number;
+  /** Share of the open endpoints' CPU or memory that tasks use, 0 to 1. */
+  readonly usedShare: number;
+}
+
+/** What a `pool-demand` decision tells of the pool. */
+interface LoggedDemand extends Pick<PoolReport, "endpoints" | "usedShare"> {
+  readonly want: number;
+  readonly arrivingCpuMillis: number;
 }
 
 /** Computes the host demand of one shard and writes it to the store. */
@@ -68,10 +84,14 @@
   #writtenAt = -Infinity;
   /** Number of hosts in the last `pool-demand` decision. */
   #loggedWant = 0;
+  /** Whether endpoints were closing in that decision. */
+  #loggedClosing = false;
   /**
    * Monotonic time in ms since which at least one endpoint has been offered.
    */
   #offeringSince: number | undefined;
+  /** Monotonic time in ms until which late work counts like other work. */
+  #lateWorkCountsUntil = -Infinity;
 
   constructor(private readonly deps: DemandReporterDependencies) {
     this.#arrivals = new ArrivalRate(deps.runTimes);
@@ -101,7 +121,7 @@
   /**
    * Computes the demand, and writes it when it has changed.
    */
-  report({ minHosts, ...pool }: PoolReport): void {
+  report({ minHosts, usedShare, ...pool }: PoolReport): void {
     const { endpoints } = pool;
     const { clock, shard } = this.deps;
     const now = clock.now();
@@ -115,7 +135,7 @@
     });
     const want = Math.max(hostsForJobs, minHosts);
     this.offers.adjust(endpoints, want);
-    this.#logChange(want, endpoints, arrivingCpuMillis);
+    this.#logChange({ want, endpoints, arrivingCpuMillis, usedShare });
     const silent = endpoints
       .filter((each) => each.silentMs >= unresponsiveMs)
       .map((each) => each.id);
@@ -132,30 +152,40 @@
 
   /**
    * Returns the test for occurrences that can no longer be on time, which
-   * count for less in the demand. No occurrence counts as late while offers
-   * have been unclaimed for {@link unclaimedMs}: no other pool needs the hosts.
+   * count for less in the demand. No occurrence counts as late for
+   * {@link lateWorkCountsMs} once offers have been unclaimed for
+   * {@link unclaimedMs}: no other pool needs the hosts.
    */
   #lateFilter(now: number): IsLate {
     if (this.offers.offered.length === 0) this.#offeringSince = undefined;
     else this.#offeringSince ??= now;
     const since = this.#offeringSince;
-    if (since !== undefined && now - since > unclaimedMs) return () => false;
+    if (since !== undefined && now - since > unclaimedMs) {
+      this.#lateWorkCountsUntil = now + lateWorkCountsMs;
+    }
+    if (now < this.#lateWorkCountsUntil) return () => false;
     return this.deps.createLateFilter(this.deps.clock.wall());
   }
 
-  /** Logs the demand when the number of wanted hosts has changed. */
+  /**
+   * Logs the demand when the number of wanted hosts has changed, and when the
+   * first endpoint closes or none does any more.
+   */
   #logChange(
-    want: number,
-    endpoints: readonly PoolEndpoint[],
-    arrivingCpuMillis: number,
+    { want, endpoints, arrivingCpuMillis, usedShare }: LoggedDemand,
   ): void {
-    if (want === this.#loggedWant) return;
+    const { offered, closingCount } = this.offers;
+    const isClosing = closingCount > 0;
+    if (want === this.#loggedWant && isClosing === this.#loggedClosing) return;
     this.#loggedWant = want;
+    this.#loggedClosing = isClosing;
     this.deps.log.decision("pool-demand", {
       shard: this.deps.shard,
       want,
       endpoints: endpoints.filter((each) => each.isOpen).length,
-      offered: this.offers.offered.length,
+      offered: offered.length,
+      closing: closingCount,
+      usedShare: Math.round(usedShare * 100) / 100,
       arrivingCpu: Math.round(arrivingCpuMillis),
     });
   }
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -34,6 +34,7 @@
 import { ShardLoader } from "./shard_loader.ts";
 import type { ShardDependencies } from "./shard_dependencies.ts";
 import { ShardReports } from "./shard_reports.ts";
+import { usageOf, usedShare } from "./pool_usage.ts";
 import { Placer } from "./placer.ts";
 import { PassTimer } from "./pass_timer.ts";
 import { RunTimes } from "./run_times.ts";
@@ -176,13 +177,14 @@
   }
 
   /**
-   * Whether no task waits for placement and few jobs arrive, so that a change
-   * of owner delays no job.
+   * Whether no task waits for placement or for the end of a lease, and few jobs
+   * arrive, so that a change of owner delays no job.
    */
   get isQuiet(): boolean {
-    return this.#activeJobs().every(({ progress, spec }) =>
-      readySteps(progress, spec).every((ready) => ready.waiting === 0)
-    ) && this.#demandReporter.isQuiet;
+    return !this.driver.hasUnsettledRuns &&
+      this.#activeJobs().every(({ progress, spec }) =>
+        readySteps(progress, spec).every((ready) => ready.waiting === 0)
+      ) && this.#demandReporter.isQuiet;
   }
 
   /**
@@ -316,6 +318,7 @@
       endpoints: this.#poolEndpoints(now),
       knownHosts: this.#knownHosts(),
       minHosts: this.#advisedSteps.requiredHosts,
+      usedShare: usedShare(usageOf(this.driver.sessions())),
     });
     this.#renewLease();
     this.requestPass();
