--- a/test/sim/describe_model_fuzz.ts
+++ b/test/sim/describe_model_fuzz.ts
@@ -14,6 +14,9 @@
 
 const index = fc.nat({ max: 11 });
 const durationMs = fc.integer({ min: 300, max: 6_000 });
+/** Time for which an endpoint is down when it restarts under its id, in ms. */
+const restartMs = fc.integer({ min: 100, max: 1_500 });
+
 const share = fc.constantFrom(0.1, 0.3, 0.6);
 
 /** Generates actions; submissions and waits outnumber disturbances. */
@@ -62,18 +65,67 @@
   }),
 ) as fc.Arbitrary<Action>;
 
+/** Draws restarts, of which some are followed by a cut within milliseconds. */
+const arbitraryRestart: fc.Arbitrary<Action> = fc.oneof(
+  fc.record({
+    kind: fc.constant("restart-cut"),
+    host: index,
+    downMs: restartMs,
+    cutAfterMs: fc.integer({ min: 0, max: 600 }),
+    cutMs: fc.integer({ min: 2_000, max: 12_000 }),
+    killsOwner: fc.boolean(),
+  }),
+  fc.record({
+    kind: fc.constant("restart"),
+    host: index,
+    downMs: restartMs,
+  }),
+) as fc.Arbitrary<Action>;
+
+/** Share of the actions that are restarts on days with restarts. */
+const restartWeight = 1;
+
+/** The same of the other actions. */
+const usualWeight = 5;
+
+/**
+ * Draws actions as {@link arbitraryAction} does, and restarts between them. The
+ * days without restarts stay as they were for each seed.
+ */
+const arbitraryRestartAction: fc.Arbitrary<Action> = fc.oneof(
+  { weight: usualWeight, arbitrary: arbitraryAction },
+  { weight: restartWeight, arbitrary: arbitraryRestart },
+);
+
+/** Kinds of day: without restarts under an id, or with them and long tasks. */
+export type FuzzedDay = "usual" | "restarts";
+
+/** Share of long tasks on days with restarts, which outlast any lease. */
+const longShare = 0.35;
+
 /** Registers a suite that performs action sequences generated from a seed. */
-export function describeModelFuzz(seed: number): void {
-  describe(`the batch simulation, seed ${seed}`, () => {
+export function describeModelFuzz(
+  seed: number,
+  day: FuzzedDay = "usual",
+): void {
+  const hasRestarts = day === "restarts";
+  const action = hasRestarts ? arbitraryRestartAction : arbitraryAction;
+  const options = hasRestarts ? { longShare } : {};
+  const name = hasRestarts ? " with restarts" : "";
+  describe(`the batch simulation${name}, seed ${seed}`, () => {
     it("violates no rule in generated action sequences", async () => {
       const property = fc.asyncProperty(
         fc.nat({ max: 1_000_000 }),
-        fc.array(arbitraryAction, {
+        fc.array(action, {
           minLength: maxActions / 2,
           maxLength: maxActions,
         }),
         async (simulationSeed, actions) => {
-          const { violations } = await runSimulation(simulationSeed, actions);
+          const { violations } = await runSimulation(
+            simulationSeed,
+            actions,
+            options,
+          );
           assert.deepEqual(violations, []);
         },
       );
