Tell the shard of a pool named "fleet" from the fleet's

Cause: the fleet's shard has that name, so both had one owner row, and its holder ran the fleet alone. The shard of such a pool now has `:pool` added to its name; all other names are as before.

Rolling upgrade: the fleet's owner row and those of all other pools are unchanged, so two releases side by side have one owner of each; a test has the fleet held as earlier releases do. Earlier releases never serve the pool "fleet"; what they accept for it is in the same inbox and is served by the new one. Only a pool named "fleet:pool" would have an owner of each release while both run.

Ruled out, by reading: other collisions of the pools' names with tables, partitions or keys. A queue named "constructor" makes its pool's counts invalid, which costs reads and no wrong answer; not mended.

--- a/src/batch/rows.ts
+++ b/src/batch/rows.ts
@@ -1,13 +1,14 @@
 /**
  * Store rows of batch jobs.
  *
- * The table `inbox-SHARD` holds accepted jobs, forwards to jobs in other inboxes,
+ * The table `inbox-POOL` holds accepted jobs, forwards to jobs in other inboxes,
  * and cancellation requests. Any entry may write to it, each row once, so it is
  * spread over partitions. The
- * tables `progress`, `counts` and `learned` are written only by the shard's
- * owner, in the partition named after the shard.
+ * tables `progress`, `counts` and `learned` are written only by the owner of the
+ * pool's shard, in the partition named after the shard.
  */
 import * as v from "valibot";
+import { shardOfPool } from "../cluster/index.ts";
 import {
   parseJson,
   partitionOf,
@@ -17,20 +18,20 @@
 
 const cancelSuffix = "/cancel";
 
-/** Table of the jobs accepted for a shard. */
-export function inboxTable(shard: string): string {
-  return `inbox-${shard}`;
+/** Table of the jobs accepted for a pool. */
+export function inboxTable(pool: string): string {
+  return `inbox-${pool}`;
 }
 
 /** Key of an accepted job. */
-export function inboxKey(shard: string, job: string): StoreRowKey {
-  const partition = partitionOf(shard, job);
-  return { table: inboxTable(shard), partition, key: job };
+export function inboxKey(pool: string, job: string): StoreRowKey {
+  const partition = partitionOf(pool, job);
+  return { table: inboxTable(pool), partition, key: job };
 }
 
 /** Key of a job's cancellation request. */
-export function cancelKey(shard: string, job: string): StoreRowKey {
-  return { ...inboxKey(shard, job), key: job + cancelSuffix };
+export function cancelKey(pool: string, job: string): StoreRowKey {
+  return { ...inboxKey(pool, job), key: job + cancelSuffix };
 }
 
 /** Job id of a cancellation request's key; undefined for any other key. */
@@ -53,23 +54,23 @@
 }
 
 /** Key of a job's progress. */
-export function progressKey(shard: string, job: string): StoreRowKey {
-  return { table: "progress", partition: shard, key: job };
+export function progressKey(pool: string, job: string): StoreRowKey {
+  return { table: "progress", partition: shardOfPool(pool), key: job };
 }
 
-/** Range of all progress rows of a shard. */
-export function progressRange(shard: string): RangeQuery {
-  return { table: "progress", partition: shard };
+/** Range of all progress rows of a pool. */
+export function progressRange(pool: string): RangeQuery {
+  return { table: "progress", partition: shardOfPool(pool) };
 }
 
 /** Key of the number of waiting jobs by queue. */
-export function waitingCountsKey(shard: string): StoreRowKey {
-  return { table: "counts", partition: shard, key: "waiting" };
+export function waitingCountsKey(pool: string): StoreRowKey {
+  return { table: "counts", partition: shardOfPool(pool), key: "waiting" };
 }
 
-/** Key of the run times that the shard's owner has observed. */
-export function runTimesKey(shard: string): StoreRowKey {
-  return { table: "learned", partition: shard, key: "run-times" };
+/** Key of the run times that the owner of a pool's shard has observed. */
+export function runTimesKey(pool: string): StoreRowKey {
+  return { table: "learned", partition: shardOfPool(pool), key: "run-times" };
 }
 
 const waitingCountsSchema = v.object({
--- a/src/capacity/pool_demand.ts
+++ b/src/capacity/pool_demand.ts
@@ -1,5 +1,6 @@
 /** The row in which the owner of a pool's shard reports its demand for hosts. */
 import * as v from "valibot";
+import { shardOfPool } from "../cluster/index.ts";
 import type { StoreRowKey } from "../store/index.ts";
 
 /** Schema of a pool's demand row. */
@@ -16,6 +17,6 @@
 export type PoolDemand = v.InferOutput<typeof poolDemandSchema>;
 
 /** Key of a pool's demand; the owner of its shard writes it. */
-export function poolDemandKey(shard: string): StoreRowKey {
-  return { table: "demand", partition: shard, key: "demand" };
+export function poolDemandKey(pool: string): StoreRowKey {
+  return { table: "demand", partition: shardOfPool(pool), key: "demand" };
 }
--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -19,3 +19,4 @@
   ShardLease,
   silentOwnerEffectMs,
 } from "./shard_lease.ts";
+export { fleetShard, poolOfShard, shardOfPool } from "./shard_names.ts";
--- a/src/intake/waiting_jobs.ts
+++ b/src/intake/waiting_jobs.ts
@@ -19,7 +19,7 @@
   waitingCountsKey,
 } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
-import { readOwner } from "../cluster/index.ts";
+import { readOwner, shardOfPool } from "../cluster/index.ts";
 import {
   parseJson,
   partitionsOf,
@@ -71,7 +71,7 @@
   ): Promise<Result<number, StoreFailure>> {
     const startedAt = this.clock.now();
     const [owner, published] = await Promise.all([
-      readOwner(this.store, pool),
+      readOwner(this.store, shardOfPool(pool)),
       this.store.range(singleKeyRange(waitingCountsKey(pool))),
     ]);
     if (owner.err) return owner;
--- a/src/scheduler/shard_dependencies.ts
+++ b/src/scheduler/shard_dependencies.ts
@@ -12,6 +12,7 @@
 
 /** Dependencies and callbacks of a `ShardOwner`. */
 export interface ShardDependencies {
+  /** Name of the pool that the shard is of. */
   readonly shard: string;
   readonly lease: ShardLease;
   /** What is known about the previous owner of the shard. */
--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -6,16 +6,19 @@
 import {
   assignShards,
   type ClusterMember,
+  fleetShard,
   memberLeaseMs,
   type OwnerRecord,
+  poolOfShard,
   type PreviousOwner,
   readOwner,
   selectCandidates,
   ShardLease,
+  shardOfPool,
   shardToRelease,
 } from "../cluster/index.ts";
 import { ShardOwner } from "../scheduler/index.ts";
-import { FleetOwner, fleetShard, type VacateState } from "../upkeep/index.ts";
+import { FleetOwner, type VacateState } from "../upkeep/index.ts";
 import type { EntryDependencies } from "./entry_dependencies.ts";
 import { Membership } from "./membership.ts";
 
@@ -141,7 +144,7 @@
   /** The fleet shard, and one shard for each pool that is not standby. */
   #allShards({ pools }: Catalog): readonly string[] {
     const servingPools = pools.filter((pool) => !pool.standby);
-    return [fleetShard, ...servingPools.map((pool) => pool.name)];
+    return [fleetShard, ...servingPools.map(({ name }) => shardOfPool(name))];
   }
 
   /** Releases a shard without waiting work if another entry has less load. */
@@ -233,13 +236,14 @@
     lease: ShardLease,
     previous: PreviousOwner,
   ): Promise<void> {
-    if (shard === fleetShard) {
+    const pool = poolOfShard(shard);
+    if (pool === undefined) {
       this.#owned.set(shard, this.#runFleetOwner(lease, previous));
       return;
     }
     const owner = new ShardOwner({
       ...this.deps,
-      shard,
+      shard: pool,
       lease,
       previous,
       onLost: () => this.#removeOwned(shard, owner),
--- a/src/service/vacating_endpoints.ts
+++ b/src/service/vacating_endpoints.ts
@@ -1,5 +1,6 @@
 /** The endpoints to vacate, as the fleet's owner has requested. */
 import type { Result } from "ts-results";
+import { fleetShard } from "../cluster/index.ts";
 import {
   mapHandler,
   type Store,
@@ -8,7 +9,6 @@
 } from "../store/index.ts";
 import {
   decodeVacate,
-  fleetShard,
   type VacateState,
   vacateTable,
 } from "../upkeep/index.ts";
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -14,6 +14,7 @@
 import type { CatalogHolder } from "../catalog/index.ts";
 import type { Clock } from "../clock/index.ts";
 import {
+  fleetShard,
   leaseTransactionEntries,
   type PreviousOwner,
   type ShardLease,
@@ -29,13 +30,7 @@
 import type { HostControl } from "./host_control.ts";
 import { HostOrders } from "./host_orders.ts";
 import { sendInBatches } from "./order_batches.ts";
-import {
-  decodeVacate,
-  fleetShard,
-  vacatedKey,
-  vacateTable,
-  waveRowKey,
-} from "./rows.ts";
+import { decodeVacate, vacatedKey, vacateTable, waveRowKey } from "./rows.ts";
 import { VacateTracker } from "./vacate_tracker.ts";
 import {
   type HostListing,
--- a/src/upkeep/rows.ts
+++ b/src/upkeep/rows.ts
@@ -3,11 +3,9 @@
  * coordinate host maintenance and pool sizes.
  */
 import * as v from "valibot";
+import { fleetShard, shardOfPool } from "../cluster/index.ts";
 import { parseJson, type StoreRowKey } from "../store/index.ts";
 
-/** Name of the fleet shard, whose owner runs waves and moves hosts. */
-export const fleetShard = "fleet";
-
 /** Table of the endpoints to vacate. */
 export const vacateTable = "vacate";
 
@@ -34,9 +32,9 @@
   return parseJson(vacateSchema, value)?.state ?? "emptying";
 }
 
-/** Key of the report that an endpoint is empty; its shard's owner writes it. */
-export function vacatedKey(shard: string, endpoint: string): StoreRowKey {
-  return { table: "vacated", partition: shard, key: endpoint };
+/** Key of the report that an endpoint is empty; its pool's owner writes it. */
+export function vacatedKey(pool: string, endpoint: string): StoreRowKey {
+  return { table: "vacated", partition: shardOfPool(pool), key: endpoint };
 }
 
 /** Key of a wave's progress; the fleet's owner writes it. */
--- a/test/service/shard_manager_test.ts
+++ b/test/service/shard_manager_test.ts
@@ -12,6 +12,7 @@
   silentOwnerEffectMs,
 } from "../../src/cluster/index.ts";
 import { EndpointRegistry } from "../../src/endpoint/index.ts";
+import { endpoint } from "../scheduler/sessions.ts";
 import { maxInheritedLeaseMs } from "../../src/scheduler/driver_dependencies.ts";
 import {
   ShardManager,
@@ -52,6 +53,7 @@
   }));
   const hostOrders: string[] = [];
   const takings: DecisionFields[] = [];
+  const heldEndpoints = new Set<string>();
   const unused = () => Promise.reject(new Error("not used"));
   const deps: ShardManagerDependencies = {
     self: { entry: "a", boot: "a#1", zone: "z", cores: 1 },
@@ -60,7 +62,10 @@
       start: unused,
       stop: unused,
       pace: unused,
-      hold: unused,
+      hold: ({ id }) => {
+        heldEndpoints.add(id);
+        return unused();
+      },
       endIncarnation: () => {},
     },
     advisor: { advise: unused },
@@ -131,6 +136,7 @@
     start,
     run,
     hostOrders,
+    heldEndpoints,
     takeAsSilentEntry,
     poolTakings,
   };
@@ -261,3 +267,55 @@
     assert.deepEqual(owners().map((o) => o.boot), ["", ""]);
   });
 });
+
+describe("a pool that is named as the fleet's shard", () => {
+  const named = [{ name: "fleet", standby: false }];
+
+  /** Sets up an entry with this pool, which has one endpoint. */
+  function setUpNamed() {
+    const setting = setUp(named);
+    setting.deps.registry.reset([endpoint("e1", { pool: "fleet" })]);
+    return setting;
+  }
+
+  // Guards against LOST: both had one shard, which ran the fleet alone, so that
+  // the pool's jobs were accepted and never started.
+  it("has an owner beside the fleet's", async () => {
+    const { start, run, hostOrders, heldEndpoints } = setUpNamed();
+    await run(start(), 3_000);
+    assert.deepEqual([...heldEndpoints], ["e1"]);
+    assert.ok(hostOrders.length > 0);
+  });
+
+  // Guards against two senders of host orders (ONE) during an upgrade: earlier
+  // releases hold the fleet by this row.
+  it("leaves the fleet to an entry of an earlier release", async () => {
+    const { model, clock, store, start, advance, hostOrders, heldEndpoints } =
+      setUpNamed();
+    const holder = { entry: "z", boot: "z#1" };
+    const member = { ...holder, zone: "z", shards: ["fleet"], accepting: true };
+    const row = { owner: undefined, version: 0 };
+    const acquired = ShardLease.acquire(
+      store,
+      clock,
+      "fleet",
+      holder,
+      row,
+      "ended",
+    );
+    await advance(100);
+    const lease = await acquired;
+    const manager = start();
+    for (let elapsed = 0; elapsed < 5_000; elapsed += 450) {
+      const beat = JSON.stringify({ ...member, beat: elapsed });
+      const key = { table: "members", partition: "members/0", key: "z" };
+      model.write(key, beat);
+      lease?.commit([], []);
+      manager.refresh();
+      await advance(450);
+    }
+    assert.deepEqual([...heldEndpoints], ["e1"]);
+    assert.equal(lease?.isLost, false);
+    assert.deepEqual(hostOrders, []);
+  });
+});
--- a/test/upkeep/wave_orders_test.ts
+++ b/test/upkeep/wave_orders_test.ts
@@ -6,10 +6,10 @@
 import { ProcessClock, VirtualClock } from "../../sim/virtual_clock.ts";
 import type { ProviderHost } from "../../src/capacity/index.ts";
 import { CatalogHolder } from "../../src/catalog/index.ts";
+import { fleetShard } from "../../src/cluster/index.ts";
 import { EndpointRegistry } from "../../src/endpoint/index.ts";
 import {
   FleetOwner,
-  fleetShard,
   type HostOrderOutcome,
   type RequestedWave,
   vacatedKey,
