Keep runs that another life than their session's has acknowledged (TWICE)

Since a new owner takes the acknowledgement of a run from its row. When another writer's row stood under the endpoint's id at the takeover, the session was opened for the life in that row, with the run as acknowledged. The endpoint then answered with its own life, and the run ended as lost although it went on there.

An acknowledgement is of one life. A run that is adopted by a session of another one counts as not acknowledged there, so that it is kept for the next session.

--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -36,6 +36,12 @@
   return [...runs.values()].filter((r) => r.phase === "starting").length;
 }
 
+/** Makes a run one that the life of its session has not acknowledged. */
+function forgetAcknowledgement(run: Run): void {
+  run.isAcknowledged = false;
+  run.isAcknowledgementRecorded = false;
+}
+
 /** A time in whole ms for the log; undefined if it is unbounded. */
 function finiteMs(ms: number): number | undefined {
   return Number.isFinite(ms) ? Math.round(ms) : undefined;
@@ -340,8 +346,12 @@
     ]);
     const session = new EndpointSession(endpoint, inherited);
     this.#sessions.set(id, session);
-    for (const { run } of orphans) {
+    for (const orphan of orphans) {
+      const { run } = orphan;
       setPhase(run, "doubtful", now);
+      // The session's life may be a wrong one, of a row of another writer: its
+      // end must not end a run that another life has acknowledged.
+      if (orphan.life !== life) forgetAcknowledgement(run);
       this.#addRun(session, run);
     }
     this.#logSession("session-opened", session, { adopted: orphans.length });
--- a/src/scheduler/orphan_runs.ts
+++ b/src/scheduler/orphan_runs.ts
@@ -12,7 +12,7 @@
   readonly run: Run;
   /** Id of the endpoint. */
   readonly endpoint: string;
-  /** Incarnation of the endpoint that its start was meant for. */
+  /** Incarnation that has acknowledged its start, or that it was meant for. */
   readonly life: number;
   /** Bound of the lease under which it may run. */
   readonly bound: LeaseBound;
