Take no answer with a young clock for an acknowledgement (TWICE)

A start counts as acknowledged if it was answered with a clock that is not behind the one that is known. When an endpoint restarts within its first seconds, the next life's clock can be ahead of it: known to be at 100 ms, a start sent 50 ms later and answered after 900 ms by a life that is 200 ms old.

--- a/src/scheduler/endpoint_lease.ts
+++ b/src/scheduler/endpoint_lease.ts
@@ -44,6 +44,14 @@
 /** The same from which they are known to be of two, in ms. */
 const minOtherClockMs = 500;
 
+/**
+ * Reading of an endpoint's clock, in ms, from which a next incarnation can't have
+ * caught up with it when it answers an order: it starts after the reading, which
+ * is up to {@link maxDeliveryMs} older than its receipt, and the answer takes half
+ * of that. The rest is for the drift of the clock between the two.
+ */
+const minDistinctClockMs = 2 * maxDeliveryMs;
+
 /** Times after which nothing can run at an endpoint unless its lease is extended. */
 export interface LeaseBound {
   /** For runs that the incarnation has acknowledged which orders were meant for. */
@@ -135,7 +143,7 @@
   /**
    * Compares the clock in the answer to an order that was sent at `sentAt` with
    * the one that is known; one that is behind is of another incarnation. Returns
-   * whether it is of this one.
+   * whether it is certain to be of this one.
    */
   checkClock(clockMs: number, sentAt: number): boolean {
     if (this.#clockMs === undefined) return false;
@@ -143,6 +151,7 @@
     const least = this.#clockMs +
       Math.min(elapsedMs, elapsedMs * (1 - maxClockDrift));
     this.#hasOtherClock ||= clockMs < least - minOtherClockMs;
-    return clockMs >= least - maxClockErrorMs;
+    return this.#clockMs >= minDistinctClockMs &&
+      clockMs >= least - maxClockErrorMs;
   }
 }
--- a/test/scheduler/endpoint_lease_test.ts
+++ b/test/scheduler/endpoint_lease_test.ts
@@ -46,6 +46,16 @@
       assert.equal(lease.checkClock(clockMs, 2_000), false);
     });
 
+    // Guards against TWICE: the start was sent 50 ms after the endpoint had said
+    // that its clock is at 100 ms, and it was answered 900 ms later by the next
+    // incarnation, which had started 200 ms before.
+    it("takes no clock for one of this incarnation that is as young as it", () => {
+      const lease = new EndpointLease(noLease);
+      lease.recordClock(100, 1_000);
+      assert.equal(lease.checkClock(200, 1_050), false);
+      assert.equal(lease.hasOtherClock, false);
+    });
+
     it("takes a clock that is behind for one of another incarnation", () => {
       const lease = knownLease();
       assert.equal(lease.checkClock(300, 2_000), false);
