--- a/test/sim/foreign_row_takeover_test.ts
+++ b/test/sim/foreign_row_takeover_test.ts
@@ -2,7 +2,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { ActionRunner } from "../../sim/actions.ts";
-import type { BatchSimulation } from "../../sim/batch_simulation.ts";
 import type { ForeignRowKind } from "../../sim/model_registrations.ts";
 import {
   busyHosts,
@@ -16,12 +15,6 @@
 /** Time after which the starts of the tasks are acknowledged in the store, in ms. */
 const acknowledgedMs = 4_000;
 
-/** Entry that owns a pool's shard. */
-function ownerOf(sim: BatchSimulation, pool: string): string {
-  const row = sim.store.table("owner").find((r) => r.partition === pool);
-  return JSON.parse(row?.value ?? "{}").entry;
-}
-
 describe("a takeover while another writer's row is under an endpoint's id", () => {
   /** Plays it with a row that lasts for `rowMs`; returns the violations. */
   async function play(
@@ -36,7 +29,7 @@
     const [host, other] = busyHosts(sim);
     sim.overwriteRegistration(host, other, kind, rowMs);
     await sim.advance(100);
-    sim.killEntry(ownerOf(sim, "quotes"));
+    sim.killEntry(sim.ownerOf("quotes") ?? "");
     await sim.advance(12_000);
     endSimulation(sim);
     return sim.oracle.violations;
