Have a restarted endpoint refuse the starts that were settled before (TWICE)

A start without an answer, not in the endpoint's lists after a confirmed stop, is settled, and its task is placed again. The endpoint refuses the order when it arrives later. If it restarts before, its next life knows of no stop, and carries the order out: the task runs twice, or again after it was done.

What remains: an order that arrives before that stop, that is within some ms of the endpoint's row; a new owner does not know what its predecessor settled.

--- a/src/scheduler/driver_dependencies.ts
+++ b/src/scheduler/driver_dependencies.ts
@@ -121,6 +121,11 @@
     reason: string,
     checkpoint?: string,
   ): void;
+  /**
+   * Notes a run that is absent after a stop, so that later incarnations of its
+   * endpoint refuse its start, too.
+   */
+  noteSettledStart(session: EndpointSession, run: Run): void;
   /**
    * Tracks a run that an endpoint lists as running, if its task is to run and
    * has no other run; returns whether it does.
--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -30,6 +30,7 @@
 import { type OrphanRun, OrphanRuns } from "./orphan_runs.ts";
 import { RunIndex } from "./run_index.ts";
 import { RunOrders } from "./run_orders.ts";
+import { SettledStarts } from "./settled_starts.ts";
 
 /** Number of runs whose start order is in flight. */
 function countStarting({ runs }: EndpointSession): number {
@@ -58,6 +59,7 @@
   readonly #inherited: InheritedLeases;
   readonly #incarnations: IncarnationCheck;
   readonly #ended = new EndedIncarnations();
+  readonly #settledStarts = new SettledStarts();
   #isStopped = false;
 
   constructor(private readonly deps: DriverDependencies) {
@@ -205,6 +207,11 @@
     this.deps.onRunEnded(run, end, checkpoint);
   }
 
+  noteSettledStart({ endpoint }: EndpointSession, run: Run): void {
+    if (run.isAcknowledged) return;
+    this.#settledStarts.add(endpoint, run, this.deps.clock.now());
+  }
+
   adoptListedRun(session: EndpointSession, listed: RunningTask): boolean {
     const parsed = parseTaskName(listed.task);
     if (parsed === undefined) return false;
@@ -355,6 +362,9 @@
       this.#addRun(session, run);
     }
     this.#logSession("session-opened", session, { adopted: orphans.length });
+    for (const start of this.#settledStarts.arrivingAt(endpoint, now)) {
+      this.runOrders.refuseStart(session, start);
+    }
     this.#holds.holdUntilClosed(session).catch((err) =>
       this.#abandonSession(session, err)
     );
--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -193,6 +193,7 @@
     }
     for (const end of result.ended) this.#handleEnd(session, end);
     for (const run of result.absent) {
+      this.control.noteSettledStart(session, run);
       this.control.finishRun(
         session,
         run,
--- a/src/scheduler/run_orders.ts
+++ b/src/scheduler/run_orders.ts
@@ -3,7 +3,7 @@
  * whose outcome is unknown.
  */
 import { delay } from "../clock/index.ts";
-import type { Rejection } from "../endpoint/index.ts";
+import type { OrderOutcome, Rejection } from "../endpoint/index.ts";
 import type { DecisionFields } from "../telemetry/index.ts";
 import {
   type DriverDependencies,
@@ -13,6 +13,7 @@
 } from "./driver_dependencies.ts";
 import type { EndpointSession, Run, RunPhase } from "./endpoint_session.ts";
 import { computePaceChanges } from "./filler_pace.ts";
+import type { SettledStart } from "./settled_starts.ts";
 import { withFailure } from "./failure_history.ts";
 
 /** Pause before a stop that had no answer is sent again, in ms. */
@@ -180,13 +181,31 @@
   }
 
   /**
-   * Stops a run that is listed by an endpoint but not tracked by this owner.
+   * Makes an endpoint refuse a start whose order may still arrive: sends a stop
+   * of its run, until it is confirmed or the order can't arrive any more.
+   */
+  async refuseStart(
+    session: EndpointSession,
+    { task, run, arrivesBy }: SettledStart,
+  ): Promise<void> {
+    const { clock } = this.deps;
+    while (!this.control.isStopped && !session.closed) {
+      if (clock.now() > arrivesBy) return;
+      const outcome = await this.stopForeignRun(session, task, run);
+      if (outcome === "done") return;
+      await delay(clock, stopRetryPauseMs);
+    }
+  }
+
+  /**
+   * Stops a run that is not tracked by this owner: one that an endpoint lists, or
+   * may be about to start. Returns the kind of the outcome.
    */
   async stopForeignRun(
     session: EndpointSession,
     task: string,
     run: number,
-  ): Promise<void> {
+  ): Promise<OrderOutcome["kind"]> {
     const { orders, lease, log, shard } = this.deps;
     const { id, life } = session.endpoint;
     const trackedRun = session.runs.get(task)?.run;
@@ -205,6 +224,7 @@
       trackedRun,
       outcome: outcome.kind,
     });
+    return outcome.kind;
   }
 
   /**
