--- a/sim/model_endpoint.ts
+++ b/sim/model_endpoint.ts
@@ -88,6 +88,8 @@
   #leaseUntil = 0;
   /** Callbacks that answer the hold orders waiting for a run to end. */
   #pendingHolds = new Set<() => void>();
+  /** Deliveries that wait for the end of a cut. */
+  #pendingDeliveries: (() => void)[] = [];
   /** False after a crash. */
   isUp = true;
   /** Whether the network to it is cut; its tasks keep running. */
@@ -122,6 +124,19 @@
     return this.info.capacity.cpuMillis - usedCpuMillis;
   }
 
+  /** Calls `deliver` once the network to it works again. */
+  awaitReconnection(deliver: () => void): void {
+    this.#pendingDeliveries.push(deliver);
+  }
+
+  /** Delivers what waits for the end of a cut, if none lasts. */
+  deliverPending(): void {
+    if (!this.isReachable) return;
+    const deliveries = this.#pendingDeliveries;
+    this.#pendingDeliveries = [];
+    for (const deliver of deliveries) deliver();
+  }
+
   /** Names of the long-running tasks that are available here. */
   get availableTasks(): readonly string[] {
     const available = [...this.runs.values()].filter((r) =>
--- a/sim/model_hosts.ts
+++ b/sim/model_hosts.ts
@@ -109,6 +109,7 @@
     this.registrations.unregister(endpoint.info);
     this.environment.clock.after(downMs, () => {
       endpoint.isIsolated = false;
+      endpoint.deliverPending();
       this.#writeOwnRow(host);
     });
   }
@@ -125,6 +126,7 @@
     endpoint.isDisconnected = true;
     this.environment.clock.after(downMs, () => {
       endpoint.isDisconnected = false;
+      endpoint.deliverPending();
       this.#writeOwnRow(host);
     });
   }
--- a/sim/model_orders.ts
+++ b/sim/model_orders.ts
@@ -115,6 +115,8 @@
     private readonly to: TaskEndpoint,
     timeoutMs: number,
     private readonly handle: OrderHandler<T>,
+    /** Whether the process of the sender was killed. */
+    private readonly isSenderDead: () => boolean,
   ) {
     const { clock } = network;
     this.outcome = new Promise((resolve) => {
@@ -135,14 +137,23 @@
     this.#isWaiting = endpoint === undefined;
     if (endpoint === undefined) {
       network.awaitBoot(to.address, () => this.#deliver());
-    } else if (!endpoint.isReachable) return;
-    else if (endpoint.info.id !== to.id) {
+    } else if (!endpoint.isReachable) {
+      endpoint.awaitReconnection(() => this.#retransmit());
+    } else if (endpoint.info.id !== to.id) {
       this.#answer(endpoint, rejected("other-life"));
     } else {
       this.handle(endpoint).then((outcome) => this.#answer(endpoint, outcome));
     }
   }
 
+  /**
+   * Delivers an order at the end of a cut. A sender that lives has reset its
+   * connection at the timeout; the host of one that was killed sends it again.
+   */
+  #retransmit(): void {
+    if (!this.#isOver || this.isSenderDead()) this.#deliver();
+  }
+
   /** Sends the answer back, also if the endpoint crashes meanwhile. */
   #answer(endpoint: ModelEndpoint, outcome: T | FailedCall | undefined): void {
     this.network.clock.after(this.network.drawDelayMs(), () => {
@@ -246,7 +257,13 @@
     timeoutMs: number,
     handle: OrderHandler<T>,
   ): Promise<T | FailedCall> {
-    const call = new Call<T>(this.network, to, timeoutMs, handle);
+    const call = new Call<T>(
+      this.network,
+      to,
+      timeoutMs,
+      handle,
+      () => this.process.isDead,
+    );
     return this.process.deliver(call.outcome);
   }
 }
