--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -293,6 +293,11 @@
     this.#registrations.setBack(entry.registry, ageMs, lagMs);
   }
 
+  /** Whether the provider of hosts lists none, so that none is moved. */
+  set isProviderAway(isAway: boolean) {
+    this.#hosts.isProviderAway = isAway;
+  }
+
   /** Longest extra delay of an order or its answer in the network, in ms. */
   set maxOrderDelayMs(ms: number) {
     this.#hosts.network.maxExtraDelayMs = ms;
@@ -304,6 +309,7 @@
     this.store.delayFactor = 1;
     this.lateShare = 0;
     this.maxOrderDelayMs = 0;
+    this.isProviderAway = false;
     this.#hosts.writeOwnRows();
     for (const entry of this.entries.values()) {
       this.store.setBehavior(entry.name, "serves");
--- a/sim/model_hosts.ts
+++ b/sim/model_hosts.ts
@@ -9,7 +9,7 @@
   HostOrderOutcome,
   OrderSender,
 } from "../src/upkeep/index.ts";
-import { Ok } from "ts-results";
+import { Err, Ok, type Result } from "ts-results";
 import { type EndpointEnvironment, ModelEndpoint } from "./model_endpoint.ts";
 import { ModelNetwork } from "./model_orders.ts";
 import type {
@@ -44,6 +44,8 @@
 export class ModelHosts {
   readonly list: readonly ModelHost[];
   readonly network: ModelNetwork;
+  /** Whether the provider lists no hosts, so that none is moved. */
+  isProviderAway = false;
   #endpointCount = 0;
 
   constructor(
@@ -172,7 +174,7 @@
         Promise.resolve(this.#carryOutOrder(name, sender, pool, downMs)),
       );
     return {
-      list: () => process.deliver(Promise.resolve(Ok(this.#providerHosts()))),
+      list: () => process.deliver(Promise.resolve(this.#list())),
       maintain: (host, _wave, sender) =>
         order(host, sender, undefined, maintenanceDurationMs),
       move: (host, pool, sender) => order(host, sender, pool, moveDurationMs),
@@ -183,6 +185,10 @@
     return this.list[index % this.list.length];
   }
 
+  #list(): Result<readonly ProviderHost[], string> {
+    return this.isProviderAway ? Err("away") : Ok(this.#providerHosts());
+  }
+
   #providerHosts(): readonly ProviderHost[] {
     return this.list.map(({ host, pool, state, endpoint }) => ({
       host,
