--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -20,6 +20,7 @@
   stack: "fakes/stack_main.ts",
   demo: "fakes/demo_main.ts",
   soak: "fakes/soak_main.ts",
+  batch_soak: "soak/main.ts",
   fuzz: "test/fuzz/run.ts",
   proof: "test/fuzz/proof.ts",
   embed: "examples/embed.ts",
--- /dev/null
+++ b/soak/faults.ts
@@ -0,0 +1,107 @@
+/** Carries out the drawn rounds of faults. */
+import * as v from "valibot";
+import { ownerTable } from "../src/cluster/index.ts";
+import { parseJson } from "../src/store/index.ts";
+import type { CloudStandIn } from "./cloud.ts";
+import type { FaultRound, PlannedKill } from "./draw.ts";
+import type { Endpoint } from "./endpoint.ts";
+import type { EntryProcess } from "./entry_process.ts";
+import { pause, type PlayClock } from "./pause.ts";
+import type { PlayRecord } from "./play_record.ts";
+import type { StoreStandIn } from "./store.ts";
+
+/** Key of the row that tells who owns a pool. */
+const ownerKey = "owner";
+
+/** The part of an owner row that the faults need. */
+const ownerSchema = v.object({ entry: v.string() });
+
+/** What the faults use of the play. */
+export interface FaultDependencies {
+  readonly clock: PlayClock;
+  readonly record: PlayRecord;
+  readonly store: StoreStandIn;
+  readonly cloud: CloudStandIn;
+  readonly entries: readonly EntryProcess[];
+  /** Writes a line on what happens. */
+  readonly tell: (line: string) => void;
+}
+
+/** The faults of a play. */
+export class Faults {
+  /** Entries that are being started again. */
+  readonly #down = new Set<string>();
+
+  constructor(private readonly deps: FaultDependencies) {}
+
+  /** Plays a round; times are counted from `startAt`, in ms of the play. */
+  async play(round: FaultRound, startAt: number): Promise<void> {
+    const { clock, cloud } = this.deps;
+    const darkAt = startAt + round.darkAt;
+    await clock.until(darkAt);
+    const endpoints = cloud.endpointsIn(round.pool, round.zone);
+    const returnAt = darkAt + round.darkMs;
+    const { kill } = round;
+    this.deps.tell(
+      `${round.pool} in ${round.zone}: ${endpoints.length} endpoints dark ` +
+        `for ${round.darkMs} ms, cut ${round.cutAfterMs} ms after the return, ` +
+        `row after ${round.rowAfterMs} ms, kill ` +
+        (kill === undefined ? "none" : `${kill.afterReturnMs} ms`),
+    );
+    await Promise.all([
+      ...endpoints.map((endpoint) => this.#disturb(endpoint, round, returnAt)),
+      kill === undefined ? undefined : this.#kill(round.pool, kill, returnAt),
+    ]);
+  }
+
+  async #disturb(
+    endpoint: Endpoint,
+    { rowAfterMs, cutAfterMs, cutMs }: FaultRound,
+    returnAt: number,
+  ): Promise<void> {
+    const { clock } = this.deps;
+    const dark = endpoint.crash();
+    await clock.until(returnAt);
+    await endpoint.revive(dark);
+    void endpoint.register(rowAfterMs);
+    await pause(cutAfterMs);
+    endpoint.cut();
+    await pause(cutMs);
+    endpoint.heal();
+  }
+
+  /** Kills the entry that owns a pool, and starts it again. */
+  async #kill(
+    pool: string,
+    { afterReturnMs, restartAfterMs }: PlannedKill,
+    returnAt: number,
+  ): Promise<void> {
+    const { clock, record, entries, tell } = this.deps;
+    await clock.until(returnAt + afterReturnMs);
+    const owner = this.#ownerOf(pool);
+    const entry = entries.find(({ plan }) => plan.name === owner);
+    if (entry === undefined || this.#down.has(entry.plan.name)) return;
+    const { name } = entry.plan;
+    this.#down.add(name);
+    const seen = { what: "kill" as const, who: name, from: clock.now };
+    const disturbance: PlayRecord["disturbances"][number] = seen;
+    record.disturbances.push(disturbance);
+    tell(`${name}, which owns ${pool}, is killed`);
+    await entry.kill();
+    await pause(restartAfterMs);
+    entry.start();
+    disturbance.to = clock.now;
+    this.#down.delete(name);
+  }
+
+  /** Name of the entry that owns a pool; undefined if nobody does. */
+  #ownerOf(pool: string): string | undefined {
+    const text = this.deps.store.read({
+      table: ownerTable,
+      part: pool,
+      key: ownerKey,
+    });
+    if (text === undefined) return undefined;
+    return parseJson(ownerSchema, text)?.entry;
+  }
+}
