Give the soak's store its rates, and kill some owners twice

In 3 of 10 rounds with a kill the next owner is killed as well, while its endpoints are cut off. The traffic ends as the last cuts do.

--- a/soak/bounds.ts
+++ b/soak/bounds.ts
@@ -54,6 +54,15 @@
 /** Time that a transaction takes within its part, in ms. */
 export const transactionMs = 5;
 
+/** Writing calls that the store takes a second, of all entries together. */
+export const writesPerSecond = 600;
+
+/** Reading calls that the store takes a second, of all entries together. */
+export const readsPerSecond = 2_000;
+
+/** Transactions that may wait for one part of the store. */
+export const maxWaitingTransactions = 200;
+
 /** Time for which the store keeps its history, in ms. */
 export const historyMs = 20_000;
 
--- a/soak/draw.ts
+++ b/soak/draw.ts
@@ -13,7 +13,7 @@
 } from "./site.ts";
 
 /** Length of the traffic, in ms. */
-export const trafficMs = 31_000;
+export const trafficMs = 28_700;
 
 /** Jobs a second of each queue, which take half of its pool. */
 const jobsPerSecond: Readonly<Record<string, number>> = {
@@ -49,6 +49,9 @@
 /** Share of the rounds in which the owner of the pool is killed. */
 const killShare = 0.75;
 
+/** Share of the kills that are followed by another one during the cut. */
+const secondKillShare = 0.3;
+
 /** Share of the cuts that begin with the return. */
 const instantCutShare = 0.35;
 
@@ -89,7 +92,8 @@
   /** Time from the return to the cut, in ms. */
   readonly cutAfterMs: number;
   readonly cutMs: number;
-  readonly kill: PlannedKill | undefined;
+  /** Kills of whoever owns the pool at the time. */
+  readonly kills: readonly PlannedKill[];
 }
 
 /** A play. */
@@ -175,10 +179,25 @@
   };
 }
 
+/** Draws a kill between two times after the return, in ms. */
+function drawKill(draw: Draw, fromMs: number, toMs: number): PlannedKill {
+  return {
+    afterReturnMs: draw.ms(fromMs, toMs),
+    restartAfterMs: draw.ms(200, 500),
+  };
+}
+
+/** Draws the kills of a round: around the return, and during the cut. */
+function drawKills(draw: Draw): readonly PlannedKill[] {
+  if (!draw.happens(killShare)) return [];
+  const first = drawKill(draw, -300, 300);
+  if (!draw.happens(secondKillShare)) return [first];
+  return [first, drawKill(draw, 1_500, 6_000)];
+}
+
 /** Draws a round of faults in a pool. */
 function drawRound(draw: Draw, pool: string, waveStart: number): FaultRound {
   const isInstantCut = draw.happens(instantCutShare);
-  const hasKill = draw.happens(killShare);
   return {
     pool,
     zone: draw.pick(zones),
@@ -187,12 +206,7 @@
     rowAfterMs: draw.ms(20, 250),
     cutAfterMs: isInstantCut ? draw.ms(0, 5) : draw.ms(5, 400),
     cutMs: draw.ms(8_500, 9_500),
-    kill: hasKill
-      ? {
-        afterReturnMs: draw.ms(-300, 300),
-        restartAfterMs: draw.ms(200, 500),
-      }
-      : undefined,
+    kills: drawKills(draw),
   };
 }
 
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -41,16 +41,16 @@
     await clock.until(darkAt);
     const endpoints = cloud.endpointsIn(round.pool, round.zone);
     const returnAt = darkAt + round.darkMs;
-    const { kill } = round;
+    const killTimes = round.kills.map((kill) => `${kill.afterReturnMs} ms`);
     this.deps.tell(
       `${round.pool} in ${round.zone}: ${endpoints.length} endpoints dark ` +
         `for ${round.darkMs} ms, cut ${round.cutAfterMs} ms after the return, ` +
-        `row after ${round.rowAfterMs} ms, kill ` +
-        (kill === undefined ? "none" : `${kill.afterReturnMs} ms`),
+        `row after ${round.rowAfterMs} ms, kills after ` +
+        (killTimes.join(" and ") || "none"),
     );
     await Promise.all([
       ...endpoints.map((endpoint) => this.#disturb(endpoint, round, returnAt)),
-      kill === undefined ? undefined : this.#kill(round.pool, kill, returnAt),
+      ...round.kills.map((kill) => this.#kill(round.pool, kill, returnAt)),
     ]);
   }
 
--- a/soak/main.ts
+++ b/soak/main.ts
@@ -27,11 +27,10 @@
 
 /** Prints what a play has shown: its traces, and a line of counts as JSON. */
 function printResult(result: PlayResult): void {
-  const { seed, findings, trace, jobs, accepted, runs } = result;
+  const { findings, trace, ...counts } = result;
   for (const line of trace) process.stdout.write(`${line}\n`);
   const broken = countParts(findings);
-  const counts = { seed, jobs, accepted, runs, broken };
-  process.stdout.write(`${JSON.stringify(counts)}\n`);
+  process.stdout.write(`${JSON.stringify({ ...counts, broken })}\n`);
 }
 
 /** Plays all seeds; returns the exit code. */
--- a/soak/play.ts
+++ b/soak/play.ts
@@ -43,6 +43,8 @@
   readonly jobs: number;
   readonly accepted: number;
   readonly runs: number;
+  /** Calls that the store refused because there were too many. */
+  readonly refusedCalls: number;
 }
 
 /**
@@ -213,6 +215,7 @@
       jobs: jobs.length,
       accepted: accepted.length,
       runs: record.runs.length,
+      refusedCalls: this.#store.refusedCalls,
     };
   }
 
--- a/soak/store.ts
+++ b/soak/store.ts
@@ -4,7 +4,14 @@
  */
 import { Buffer } from "node:buffer";
 import * as v from "valibot";
-import { historyMs, storeAnswerMs, transactionMs } from "./bounds.ts";
+import {
+  historyMs,
+  maxWaitingTransactions,
+  readsPerSecond,
+  storeAnswerMs,
+  transactionMs,
+  writesPerSecond,
+} from "./bounds.ts";
 import { type Call, JsonServer, type Reply } from "./json_server.ts";
 import { pause } from "./pause.ts";
 
@@ -122,12 +129,58 @@
   }
 }
 
+/** Counts calls, and refuses those beyond a rate. */
+class CallRate {
+  #windowFrom = 0;
+  #calls = 0;
+  /** Calls that were refused so far. */
+  refused = 0;
+
+  constructor(private readonly perSecond: number) {}
+
+  /** Whether one more call is within the rate. */
+  take(): boolean {
+    const now = performance.now();
+    if (now - this.#windowFrom >= 1_000) {
+      this.#windowFrom = now;
+      this.#calls = 0;
+    }
+    this.#calls++;
+    const isWithin = this.#calls <= this.perSecond;
+    if (!isWithin) this.refused++;
+    return isWithin;
+  }
+}
+
+/** The transactions of one part, which are performed one after another. */
+class PartTurns {
+  #last: Promise<void> = Promise.resolve();
+  #waiting = 0;
+
+  /** Whether so many transactions wait that no other may join them. */
+  get isFull(): boolean {
+    return this.#waiting >= maxWaitingTransactions;
+  }
+
+  /** Resolves when the transactions before this one have been performed. */
+  async take(): Promise<void> {
+    this.#waiting++;
+    this.#last = this.#last.then(() => pause(transactionMs));
+    await this.#last;
+    this.#waiting--;
+  }
+}
+
+/** Answer to a call beyond a rate. */
+const tooMany: Reply = { status: 429 };
+
 /** The store, as a server on a loopback address. */
 export class StoreStandIn {
   readonly #server = new JsonServer((call) => this.#serve(call));
   readonly #tables = new Map<string, Table>();
-  /** End of the last transaction of each part. */
-  readonly #partTurns = new Map<string, Promise<void>>();
+  readonly #partTurns = new Map<string, PartTurns>();
+  readonly #writes = new CallRate(writesPerSecond);
+  readonly #reads = new CallRate(readsPerSecond);
   #version = 0;
 
   /** Listens on a free loopback port; returns the address. */
@@ -140,6 +193,11 @@
     this.#server.close();
   }
 
+  /** Number of calls that were refused because there were too many. */
+  get refusedCalls(): number {
+    return this.#writes.refused + this.#reads.refused;
+  }
+
   /** Writes a row without a part, as the operator or an endpoint does. */
   put(table: string, key: string, value: object): void {
     const text = Buffer.from(JSON.stringify(value), "utf8").toString("base64");
@@ -164,6 +222,8 @@
 
   async #serve(call: Call): Promise<Reply> {
     await pause(storeAnswerMs);
+    const rate = call.method === "POST" ? this.#writes : this.#reads;
+    if (!rate.take()) return tooMany;
     switch (`${call.method} ${call.path}`) {
       case "POST /-/rows-tx":
         return await this.#transact(call);
@@ -189,16 +249,16 @@
     const isForbidden = [...tx.puts, ...tx.remove]
       .some(({ table }) => readOnlyTables.has(table));
     if (isForbidden) return { status: 403 };
-    await this.#takeTurn([...parts][0] ?? "");
+    const turns = this.#turnsOf([...parts][0] ?? "");
+    if (turns.isFull) return tooMany;
+    await turns.take();
     return this.#perform(tx);
   }
 
-  /** Waits until the part has performed the transactions before this one. */
-  async #takeTurn(part: string): Promise<void> {
-    const before = this.#partTurns.get(part) ?? Promise.resolve();
-    const turn = before.then(() => pause(transactionMs));
-    this.#partTurns.set(part, turn);
-    await turn;
+  #turnsOf(part: string): PartTurns {
+    const turns = this.#partTurns.get(part) ?? new PartTurns();
+    this.#partTurns.set(part, turns);
+    return turns;
   }
 
   #perform(tx: Transaction): Reply {
@@ -230,7 +290,10 @@
     const part = query.get("part") ?? "";
     const from = query.get("from") ?? "";
     const to = query.get("to");
-    const limit = Math.min(Number(query.get("limit")) || maxPageRows, 500);
+    const limit = Math.min(
+      Number(query.get("limit")) || maxPageRows,
+      maxPageRows,
+    );
     const found = [...this.#table(query.get("table") ?? "").rows.values()]
       .filter((row) => row.part === part)
       .filter(({ key }) => compareBytes(key, from) >= 0)
