Let the soak's entries run a share of the time, and kill all of them at times

--core-share P pauses each entry for the rest of each tenth of a second. In a quarter of the plays all entries are killed at once near the end of the traffic.

--- a/soak/command.ts
+++ b/soak/command.ts
@@ -40,12 +40,12 @@
 
 /** Plays all seeds; returns the exit code. */
 async function playAll(
-  { seed, plays }: SoakOptions,
+  { seed, plays, coreShare }: SoakOptions,
   command: EntryCommand,
 ): Promise<number> {
   let code: number = exitCodes.held;
   for (let i = 0; i < plays; i++) {
-    const play = new Play(seed + i, command, tell);
+    const play = new Play(seed + i, coreShare, command, tell);
     current = play;
     try {
       const result = await play.run();
--- a/soak/draw.ts
+++ b/soak/draw.ts
@@ -55,6 +55,12 @@
 /** Share of the cuts that begin with the return. */
 const instantCutShare = 0.35;
 
+/** Share of the plays at whose end all entries are killed at once. */
+const killAllShare = 0.25;
+
+/** Span at the end of the traffic in which that happens, in ms. */
+const killAllSpanMs = 3_000;
+
 /** Jobs that callers send to a pool while its endpoints are dark. */
 const burstJobs = 8;
 
@@ -101,6 +107,8 @@
   readonly seed: number;
   readonly jobs: readonly PlannedJob[];
   readonly rounds: readonly FaultRound[];
+  /** When all entries are killed; undefined if they are not. In ms. */
+  readonly killAllAt: number | undefined;
 }
 
 /** Draws from a seed. */
@@ -231,5 +239,9 @@
     ...endingQueues.flatMap((queue) => drawSteadyJobs(draw, queue)),
     ...rounds.flatMap((round) => drawBurst(draw, round)),
   ];
-  return { seed, jobs: jobs.sort((a, b) => a.sendAt - b.sendAt), rounds };
+  const killAllAt = draw.happens(killAllShare)
+    ? draw.ms(trafficMs - killAllSpanMs, trafficMs)
+    : undefined;
+  jobs.sort((a, b) => a.sendAt - b.sendAt);
+  return { seed, jobs, rounds, killAllAt };
 }
--- a/soak/entry_process.ts
+++ b/soak/entry_process.ts
@@ -12,6 +12,7 @@
 import { parse as parseToml } from "smol-toml";
 import * as v from "valibot";
 import { entryCores, entryCoreShare } from "./bounds.ts";
+import { Throttle } from "./throttle.ts";
 
 /** The file that tells how entries are built and started. */
 const deployFile = "deploy/system.toml";
@@ -94,15 +95,22 @@
   readonly logFile: string;
   readonly #settingsFile: string;
   #child: ChildProcess | undefined;
+  readonly #throttle: Throttle;
 
   /** Writes the settings and the log to files in `dir`. */
   constructor(
     readonly plan: EntryPlan,
     private readonly command: EntryCommand,
     dir: string,
+    /** Share of the time in which the process may run, in percent. */
+    coreShare: number,
     /** Called when the process ends without having been killed by this object. */
     private readonly onOwnEnd: (entry: string, how: string) => void,
   ) {
+    this.#throttle = new Throttle(
+      coreShare,
+      (signal) => this.#child?.kill(signal),
+    );
     this.logFile = join(dir, `${plan.name}.log`);
     this.#settingsFile = join(dir, `${plan.name}.toml`);
     const { name, zone, ip, storeAddress, cloudAddress } = plan;
@@ -143,6 +151,16 @@
     });
   }
 
+  /** Gives the process its share of the time from now on. */
+  throttle(): void {
+    this.#throttle.start();
+  }
+
+  /** Ends the pauses of the process. */
+  unthrottle(): void {
+    this.#throttle.stop();
+  }
+
   /** Kills the process, if it runs, and resolves when it has ended. */
   async kill(): Promise<void> {
     const child = this.#child;
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -7,9 +7,12 @@
 import type { Endpoint } from "./endpoint.ts";
 import type { EntryProcess } from "./entry_process.ts";
 import { pause, type PlayClock } from "./pause.ts";
-import type { PlayRecord } from "./play_record.ts";
+import type { Disturbance, PlayRecord } from "./play_record.ts";
 import type { StoreStandIn } from "./store.ts";
 
+/** Time until entries that were all killed are started again, in ms. */
+const killAllRestartMs = 300;
+
 /** Key of the row that tells who owns a pool. */
 const ownerKey = "owner";
 
@@ -76,17 +79,36 @@
     { afterReturnMs, restartAfterMs }: PlannedKill,
     returnAt: number,
   ): Promise<void> {
-    const { clock, record, entries, tell } = this.deps;
+    const { clock, entries } = this.deps;
     await clock.until(returnAt + afterReturnMs);
     const owner = this.#ownerOf(pool);
     const entry = entries.find(({ plan }) => plan.name === owner);
-    if (entry === undefined || this.#down.has(entry.plan.name)) return;
+    if (entry === undefined) return;
+    await this.#killEntry(entry, restartAfterMs);
+  }
+
+  /** Kills all entries at a time of the play, in ms, and starts them again. */
+  async killAll(at: number): Promise<void> {
+    await this.deps.clock.until(at);
+    await Promise.all(
+      this.deps.entries.map((entry) =>
+        this.#killEntry(entry, killAllRestartMs)
+      ),
+    );
+  }
+
+  async #killEntry(entry: EntryProcess, restartAfterMs: number): Promise<void> {
+    const { clock, record, tell } = this.deps;
     const { name } = entry.plan;
+    if (this.#down.has(name)) return;
     this.#down.add(name);
-    const seen = { what: "kill" as const, who: name, from: clock.now };
-    const disturbance: PlayRecord["disturbances"][number] = seen;
+    const disturbance: Disturbance = {
+      what: "kill",
+      who: name,
+      from: clock.now,
+    };
     record.disturbances.push(disturbance);
-    tell(`${name}, which owns ${pool}, is killed`);
+    tell(`${name} is killed`);
     await entry.kill();
     await pause(restartAfterMs);
     entry.start();
--- a/soak/finding.ts
+++ b/soak/finding.ts
@@ -7,6 +7,7 @@
   | "after done"
   | "shown as failed"
   | "shown as cancelled"
+  | "shown as completed"
   | "answered 410"
   | "unknown in the end"
   | "no answer in the end"
@@ -18,7 +19,7 @@
 /** A broken rule. */
 export interface Finding {
   /** `FAULT`: an entry has ended by itself. */
-  readonly rule: "TWICE" | "LOST" | "FAULT";
+  readonly rule: "TWICE" | "LOST" | "MIXED" | "FAULT";
   readonly part: RulePart;
   /** Id of the job, or the name of the entry. */
   readonly job: string;
--- a/soak/judge_answers.ts
+++ b/soak/judge_answers.ts
@@ -1,6 +1,7 @@
 /**
- * Judges the part of LOST that is about answers: an accepted job that is not
- * known, gets no answer in the end, or is shown as ended without cause.
+ * Judges answers. LOST: an accepted job is not known, gets no answer in the end,
+ * or is shown as failed or cancelled without cause. MIXED: a job is shown as
+ * completed while a task is not done.
  */
 import { contactMs, visibleMs } from "./bounds.ts";
 import type { Finding, RulePart } from "./finding.ts";
@@ -29,12 +30,16 @@
     const failed = answers.find((answer) =>
       answer.state === "failed" && !this.#hasFailed(job, answer.answeredAt)
     );
+    const completed = answers.find((answer) =>
+      answer.state === "completed" && !this.#isDone(job, answer.answeredAt)
+    );
     // The callers of a play cancel nothing.
     const cancelled = answers.find(({ state }) => state === "cancelled");
     const found = [
       unknown && toFinding(job, "answered 410", unknown),
       failed && toFinding(job, "shown as failed", failed),
       cancelled && toFinding(job, "shown as cancelled", cancelled),
+      completed && toFinding(job, "shown as completed", completed),
       this.#judgeEnd(job, answers),
     ];
     return found.filter((finding) => finding !== undefined);
@@ -59,6 +64,16 @@
     return tasks.some((task) => hasFailedForGood(this.record.runsOf(task), at));
   }
 
+  /** Whether all tasks of the job have ended as done. */
+  #isDone(job: SeenJob, at: number): boolean {
+    const tasks = job.steps.flatMap((_, step) => taskNames(job, step));
+    return tasks.every((task) =>
+      this.record.runsOf(task).some(({ end, endedAt = Infinity }) =>
+        end === "done" && endedAt <= at
+      )
+    );
+  }
+
   /** Judges the answers that came when all jobs were asked for in the end. */
   #judgeEnd(
     job: SeenJob,
@@ -82,7 +97,7 @@
 ): Finding {
   const shown = state === undefined ? "" : `, state ${state}`;
   return {
-    rule: "LOST",
+    rule: part === "shown as completed" ? "MIXED" : "LOST",
     part,
     job: job.id,
     at: answeredAt,
--- a/soak/judge_idle.ts
+++ b/soak/judge_idle.ts
@@ -33,9 +33,14 @@
 /** Judges waiting work. */
 export class IdleJudge {
   readonly #snapshots: Snapshots;
+  /** Ids of the jobs that were shown as completed. */
+  readonly #completedJobs: ReadonlySet<string>;
 
   constructor(private readonly record: PlayRecord) {
     this.#snapshots = new Snapshots(record);
+    const completed = record.answers
+      .filter(({ state }) => state === "completed");
+    this.#completedJobs = new Set(completed.map(({ job }) => job));
   }
 
   /** Finds jobs and tasks that waited for too long. */
@@ -86,8 +91,12 @@
       this.#snapshots.usedShare(job.pool, at) < busyShare;
   }
 
-  /** A task whose turn has come; undefined if none is due or the job failed. */
+  /**
+   * A task whose turn has come; undefined if none is due, the job has failed, or
+   * it was shown as completed: an entry then knew of ends that nobody else saw.
+   */
   #dueTask(job: SeenJob, at: number): string | undefined {
+    if (this.#completedJobs.has(job.id)) return undefined;
     const tasks = job.steps.flatMap((_, step) => taskNames(job, step));
     const isOver = tasks.some((task) =>
       hasFailedForGood(this.record.runsOf(task), at)
--- a/soak/options.ts
+++ b/soak/options.ts
@@ -16,6 +16,8 @@
   readonly seed: number;
   /** Number of plays, one after the other. */
   readonly plays: number;
+  /** Share of the time in which each entry may run, in percent. */
+  readonly coreShare: number;
 }
 
 /** Schema of a whole number that is given as text. */
@@ -29,10 +31,18 @@
   );
 }
 
-const optionsSchema = v.object({
-  seed: wholeNumber(0, maxSeed),
-  plays: wholeNumber(1, maxPlays),
-});
+const optionsSchema = v.pipe(
+  v.object({
+    seed: wholeNumber(0, maxSeed),
+    plays: wholeNumber(1, maxPlays),
+    "core-share": wholeNumber(1, 100),
+  }),
+  v.transform(({ seed, plays, "core-share": coreShare }) => ({
+    seed,
+    plays,
+    coreShare,
+  })),
+);
 
 /** Reads the options; fails with one line that says what is wrong. */
 export function parseOptions(
@@ -44,6 +54,7 @@
       options: {
         seed: { type: "string", default: "1" },
         plays: { type: "string", default: "1" },
+        "core-share": { type: "string", default: "100" },
       },
     });
     const parsed = v.safeParse(optionsSchema, values);
--- a/soak/play.ts
+++ b/soak/play.ts
@@ -72,6 +72,7 @@
 
   constructor(
     private readonly seed: number,
+    private readonly coreShare: number,
     private readonly command: EntryCommand,
     private readonly tell: (line: string) => void,
   ) {
@@ -89,6 +90,7 @@
   /** Plays; throws if the entries do not become ready. */
   async run(): Promise<PlayResult> {
     await this.#start();
+    for (const entry of this.#entries) entry.throttle();
     const startAt = this.#clock.now;
     const callers = this.#openCallers();
     const sending = callers.play(this.#plan, startAt);
@@ -100,8 +102,11 @@
       entries: this.#entries,
       tell: (line) => this.#tell(line),
     });
-    const faulting = this.#plan.rounds
-      .map((round) => faults.play(round, startAt));
+    const { rounds, killAllAt } = this.#plan;
+    const faulting = rounds.map((round) => faults.play(round, startAt));
+    if (killAllAt !== undefined) {
+      faulting.push(faults.killAll(startAt + killAllAt));
+    }
     await this.#clock.until(startAt + trafficMs);
     await Promise.all(faulting);
     this.#tell("the traffic ends");
@@ -117,6 +122,7 @@
   /** Ends all processes and stand-ins. */
   async stop(): Promise<void> {
     this.#isOver = true;
+    for (const entry of this.#entries) entry.unthrottle();
     await Promise.all(this.#entries.map((entry) => entry.kill()));
     await this.#callers?.close();
     this.#cloud.close();
@@ -146,6 +152,7 @@
         plan,
         this.command,
         this.#dir,
+        this.coreShare,
         (who, how) => this.#noteOwnEnd(who, how),
       );
       this.#entries.push(entry);
--- a/test/soak/judge_answers_test.ts
+++ b/test/soak/judge_answers_test.ts
@@ -81,6 +81,18 @@
       assert.deepEqual(parts(), []);
     });
 
+    it("is completed too early while its task runs", () => {
+      addRun(record, { startedAt: 2_000, endedAt: 9_100, end: "done" });
+      addAnswer(record, { sentAt: 9_000, state: "completed" });
+      assert.deepEqual(parts(), ["shown as completed"]);
+    });
+
+    it("may be shown as completed once its task is done", () => {
+      addRun(record, { startedAt: 2_000, endedAt: 8_900, end: "done" });
+      addAnswer(record, { sentAt: 9_000, state: "completed" });
+      assert.deepEqual(parts(), []);
+    });
+
     it("was cancelled by nobody", () => {
       addAnswer(record, { sentAt: 9_000, state: "cancelled" });
       assert.deepEqual(parts(), ["shown as cancelled"]);
--- a/test/soak/judge_idle_test.ts
+++ b/test/soak/judge_idle_test.ts
@@ -4,6 +4,7 @@
 import { IdleJudge } from "../../soak/judge_idle.ts";
 import type { PlayRecord } from "../../soak/play_record.ts";
 import {
+  addAnswer,
   addJob,
   addLife,
   addRun,
@@ -61,6 +62,16 @@
       assert.deepEqual(parts(), ["nothing runs in the end"]);
     });
 
+    it("is not found if it was shown as completed, though its end was lost", () => {
+      record.lives.length = 0;
+      addLife(record, { to: 20_500 });
+      addLife(record, { endpoint: "i-2" });
+      addRun(record, { endedAt: 20_000, end: "done" });
+      assert.deepEqual(parts(), ["nothing runs in the end"]);
+      addAnswer(record, { sentAt: 21_000, state: "completed" });
+      assert.deepEqual(parts(), []);
+    });
+
     it("is not found once a task has failed four times", () => {
       for (const run of [1, 2, 3, 4]) {
         const at = run * 1_000;
--- a/test/soak/options_test.ts
+++ b/test/soak/options_test.ts
@@ -5,12 +5,14 @@
 
 describe("the options of the batch soak", () => {
   it("are one play of seed 1 by default", () => {
-    assert.deepEqual(parseOptions([]).unwrap(), { seed: 1, plays: 1 });
+    const options = parseOptions([]).unwrap();
+    assert.deepEqual(options, { seed: 1, plays: 1, coreShare: 100 });
   });
 
   it("name the first seed and the number of plays", () => {
-    const options = parseOptions(["--seed", "7", "--plays", "3"]);
-    assert.deepEqual(options.unwrap(), { seed: 7, plays: 3 });
+    const args = ["--seed", "7", "--plays", "3", "--core-share", "25"];
+    const options = parseOptions(args).unwrap();
+    assert.deepEqual(options, { seed: 7, plays: 3, coreShare: 25 });
   });
 
   const refused: readonly (readonly [string, readonly string[]])[] = [
@@ -21,6 +23,7 @@
     ["no plays", ["--plays", "0"]],
     ["an empty number", ["--plays", ""]],
     ["a missing number", ["--seed"]],
+    ["a share above 100", ["--core-share", "101"]],
     ["an unknown flag", ["--minutes", "1"]],
     ["a stray word", ["7"]],
   ];
