--- a/soak/judge_idle.ts
+++ b/soak/judge_idle.ts
@@ -54,6 +54,30 @@
     );
   }
 
+  /**
+   * The longest time for which each job that ends had nothing running at any time
+   * of the play though a task was due and had room, in ms. It breaks no rule
+   * before the end; it tells what a takeover or a lease that is waited for costs.
+   */
+  longestWaits(): readonly number[] {
+    return [...this.record.jobs.values()]
+      .filter(({ acceptedAt }) => acceptedAt !== undefined)
+      .filter(({ steps }) => !steps.some(({ longRunning }) => longRunning))
+      .map((job) => this.#longestWait(job));
+  }
+
+  #longestWait(job: SeenJob): number {
+    const { endAt } = this.record;
+    let longest = 0;
+    let since: number | undefined;
+    for (let at = job.acceptedAt ?? endAt; at <= endAt; at += sampleMs) {
+      if (this.#hasNothingRunning(job, at)) since ??= at;
+      else since = undefined;
+      if (since !== undefined) longest = Math.max(longest, at - since);
+    }
+    return longest;
+  }
+
   /** Judges a job that ends, from the moment at which jobs are asked for. */
   #judgeEnding(job: SeenJob): readonly Finding[] {
     const { finishAt, endAt } = this.record;
--- a/soak/play.ts
+++ b/soak/play.ts
@@ -12,6 +12,7 @@
 import { Faults } from "./faults.ts";
 import type { Finding } from "./finding.ts";
 import { judgePlay } from "./judge.ts";
+import { IdleJudge } from "./judge_idle.ts";
 import { pause, PlayClock } from "./pause.ts";
 import { PlayRecord } from "./play_record.ts";
 import { entryCount, operatorConfig, planHosts, zones } from "./site.ts";
@@ -43,6 +44,10 @@
   readonly jobs: number;
   readonly accepted: number;
   readonly runs: number;
+  /** Jobs that had nothing running for longer than `idleMs` at any time. */
+  readonly longWaits: number;
+  /** The longest such time, in ms. */
+  readonly longestWaitMs: number;
   /** Calls that the store refused because there were too many. */
   readonly refusedCalls: number;
 }
@@ -213,6 +218,7 @@
         findLogLines(this.#entries, finding),
       )
     );
+    const waits = new IdleJudge(record).longestWaits();
     const jobs = [...record.jobs.values()];
     const accepted = jobs.filter(({ acceptedAt }) => acceptedAt !== undefined);
     return {
@@ -222,6 +228,8 @@
       jobs: jobs.length,
       accepted: accepted.length,
       runs: record.runs.length,
+      longWaits: waits.filter((ms) => ms >= idleMs).length,
+      longestWaitMs: Math.round(Math.max(0, ...waits)),
       refusedCalls: this.#store.refusedCalls,
     };
   }
--- a/test/soak/judge_idle_test.ts
+++ b/test/soak/judge_idle_test.ts
@@ -115,6 +115,16 @@
     });
   });
 
+  describe("the longest wait of a job", () => {
+    it("counts at any time of the play", () => {
+      addJob(record);
+      addRun(record, { startedAt: 500, endedAt: 10_000, end: "lapsed" });
+      addRun(record, { run: 2, startedAt: 16_000 });
+      const [wait] = new IdleJudge(record).longestWaits();
+      assert.ok(Math.abs(wait - 6_000) <= 200, `${wait}`);
+    });
+  });
+
   describe("a task that lasts", () => {
     beforeEach(() => {
       addJob(record, { steps: [stepWith({ longRunning: true })] });
