Aim most of the soak's faults at endpoints that have just been given work

In half of the rounds no order waited at a dark endpoint, as tasks fill up used endpoints first. 7 of 10 rounds hit the availability zone in which most runs have just begun, and each round tells how many runs began between return and cut.

--- a/soak/draw.ts
+++ b/soak/draw.ts
@@ -52,6 +52,9 @@
 /** Share of the kills that are followed by another one during the cut. */
 const secondKillShare = 0.3;
 
+/** Share of the rounds that hit the zone in which most runs have just begun. */
+const busiestShare = 0.7;
+
 /** Share of the cuts that begin with the return. */
 const instantCutShare = 0.35;
 
@@ -62,7 +65,10 @@
 const killAllSpanMs = 3_000;
 
 /** Jobs that callers send to a pool while its endpoints are dark. */
-const burstJobs = 8;
+const burstJobs = 10;
+
+/** Time before the dark from which they come, in ms. */
+const burstLeadMs = 300;
 
 /** A job that a caller is to send. */
 export interface PlannedJob {
@@ -89,7 +95,8 @@
 /** One round of faults: endpoints are dark, return, and are cut off. */
 export interface FaultRound {
   readonly pool: string;
-  readonly zone: string;
+  /** Availability zone; undefined for the one in which most runs just began. */
+  readonly zone: string | undefined;
   /** Time after the beginning of the traffic, in ms. */
   readonly darkAt: number;
   readonly darkMs: number;
@@ -208,7 +215,7 @@
   const isInstantCut = draw.happens(instantCutShare);
   return {
     pool,
-    zone: draw.pick(zones),
+    zone: draw.happens(busiestShare) ? undefined : draw.pick(zones),
     darkAt: waveStart + draw.ms(0, waveSpreadMs),
     darkMs: draw.ms(550, 750),
     rowAfterMs: draw.ms(20, 250),
@@ -223,7 +230,7 @@
   const queue = endingQueues.find(({ pool }) => pool === round.pool);
   if (queue === undefined) return [];
   return Array.from({ length: burstJobs }, () => {
-    const afterMs = draw.ms(-100, round.darkMs);
+    const afterMs = draw.ms(-burstLeadMs, round.darkMs);
     return drawJob(draw, queue, round.darkAt + afterMs);
   });
 }
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -8,11 +8,15 @@
 import type { EntryProcess } from "./entry_process.ts";
 import { pause, type PlayClock } from "./pause.ts";
 import type { Disturbance, PlayRecord } from "./play_record.ts";
+import { zones } from "./site.ts";
 import type { StoreStandIn } from "./store.ts";
 
 /** Time until entries that were all killed are started again, in ms. */
 const killAllRestartMs = 300;
 
+/** Time for which a run has just begun, in ms. */
+const recentMs = 300;
+
 /** Key of the row that tells who owns a pool. */
 const ownerKey = "owner";
 
@@ -42,11 +46,12 @@
     const { clock, cloud } = this.deps;
     const darkAt = startAt + round.darkAt;
     await clock.until(darkAt);
-    const endpoints = cloud.endpointsIn(round.pool, round.zone);
+    const zone = round.zone ?? this.#busiestZone(round.pool, darkAt);
+    const endpoints = cloud.endpointsIn(round.pool, zone);
     const returnAt = darkAt + round.darkMs;
     const killTimes = round.kills.map((kill) => `${kill.afterReturnMs} ms`);
     this.deps.tell(
-      `${round.pool} in ${round.zone}: ${endpoints.length} endpoints dark ` +
+      `${round.pool} in ${zone}: ${endpoints.length} endpoints dark ` +
         `for ${round.darkMs} ms, cut ${round.cutAfterMs} ms after the return, ` +
         `row after ${round.rowAfterMs} ms, kills after ` +
         (killTimes.join(" and ") || "none"),
@@ -55,6 +60,29 @@
       ...endpoints.map((endpoint) => this.#disturb(endpoint, round, returnAt)),
       ...round.kills.map((kill) => this.#kill(round.pool, kill, returnAt)),
     ]);
+    const ids = new Set(endpoints.map(({ identity }) => identity.id));
+    const begun = this.deps.record.runs.filter((run) =>
+      ids.has(run.endpoint) && run.startedAt >= returnAt &&
+      run.startedAt < returnAt + round.cutAfterMs + round.cutMs
+    );
+    this.deps.tell(
+      `${round.pool} in ${zone}: ${begun.length} runs began between the ` +
+        "return and the end of the cut",
+    );
+  }
+
+  /** The availability zone in which most runs of a pool have just begun. */
+  #busiestZone(pool: string, at: number): string {
+    const { runs, jobs } = this.deps.record;
+    const starts = runs.filter(({ startedAt, job }) =>
+      startedAt > at - recentMs && jobs.get(job)?.pool === pool
+    );
+    const countIn = (zone: string) =>
+      starts.filter((run) => run.zone === zone).length;
+    return zones.reduce(
+      (best, zone) => countIn(zone) > countIn(best) ? zone : best,
+      zones[0] as string,
+    );
   }
 
   async #disturb(
