Play the release for balance once leases from before the takeover are over

The endpoints of the model are young when the shard is first taken, so that the longest lease is reckoned with for 12 s; the test then waited for that one. It fails still when the release does not wait for runs that are not settled.

--- a/test/sim/balance_beside_cuts_test.ts
+++ b/test/sim/balance_beside_cuts_test.ts
@@ -30,6 +30,9 @@
  */
 const releasedPool = "quotes";
 
+/** Time after which no lease lasts from before the first takeover, in ms. */
+const earlierLeasesMs = 15_000;
+
 /** Longest time until an entry that is back gets a shard, in ms. */
 const maxBalanceMs = 20_000;
 
@@ -42,6 +45,7 @@
 /** Starts long tasks in both pools while one of two entries is restarted. */
 async function beginDay(): Promise<BatchSimulation> {
   const sim = await settledSimulation({ entries: 2, workFactor: 60 });
+  await sim.advance(earlierLeasesMs);
   const runner = new ActionRunner(sim);
   for (const pool of [0, 1]) {
     await runner.perform({ kind: "submit", job: "single", pool });
