End the runs of a silent endpoint as soon as its lease is over (LOST)

An owner checked the lease of a silent endpoint only when a hold had failed, so up to 1.25 s after its end: the timeout of a hold and the pause. It checks now each 100 ms with its other periodic work.

In a trial with eight crashes of an endpoint that runs lasting tasks, the next start came 5.0 to 6.3 s after the crash before (mean 5.35 s) and 4.3 to 5.2 s now (4.77). silent_endpoint_test waits for 5.4 s; two of its four plays failed before.

--- a/src/scheduler/endpoint_driver.ts
+++ b/src/scheduler/endpoint_driver.ts
@@ -127,6 +127,9 @@
       session.endpoint = { ...session.endpoint, draining: true };
       if (session.runs.size === 0) this.endSession(session, "not registered");
     }
+    for (const session of this.sessions()) {
+      this.#holds.endExpiredRuns(session, clock.now());
+    }
     const lost = this.#orphans.takeLost(clock.now(), takenDown);
     for (const orphan of lost) this.#finishOrphan(orphan);
   }
--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -132,7 +132,7 @@
     if (reason === "fenced") this.deps.onOwnerFenced();
     else if (reason === "other-life" && session.hasAnswered) {
       this.control.endSession(session, reason);
-    } else this.#endExpiredRuns(session, now);
+    } else this.endExpiredRuns(session, now);
     return holdRetryPauseMs;
   }
 
@@ -140,9 +140,9 @@
    * Ends the runs of a silent endpoint that can't be in progress any more. Once
    * its own lease is over it must confirm this term again before it gets tasks.
    */
-  #endExpiredRuns(session: EndpointSession, now: number): void {
+  endExpiredRuns(session: EndpointSession, now: number): void {
     const { bound } = session.lease;
-    if (now <= bound.endsBy) return;
+    if (!session.silent || now <= bound.endsBy) return;
     session.fencedAt = undefined;
     for (const run of [...session.runs.values()]) {
       if (run.phase === "intended" || now <= runEndsBy(run, bound)) continue;
