Keep open the endpoints that have room for waiting tasks

Cause: the demand for hosts is a sum, in which free cores of several hosts count as one piece. The pool wanted three hosts, and offered and closed the five others.

The pool now finds the endpoints on which its waiting tasks have room at once, and neither closes nor offers them: by cores, memory, GPUs, label and limit per endpoint. So a label or GPUs that only some hosts have are covered as well, which the same cause passed over. The number of hosts wanted is as before.

A task that can only be late keeps no endpoint open if a wanted host has room for it beside the tasks that last.

Where tasks are large beside their hosts, more hosts may be kept.

--- a/src/capacity/demand_reporter.ts
+++ b/src/capacity/demand_reporter.ts
@@ -9,6 +9,7 @@
 import { ArrivalRate } from "./arrival_rate.ts";
 import { computeHostDemand, type HostDemandInput } from "./host_demand.ts";
 import { HostOffers } from "./host_offers.ts";
+import { neededEndpoints } from "./needed_endpoints.ts";
 import {
   type PoolDemand,
   poolDemandKey,
@@ -134,7 +135,8 @@
       isLate,
     });
     const want = Math.max(hostsForJobs, minHosts);
-    this.offers.adjust(endpoints, want);
+    const needed = this.#neededEndpoints(pool, want, isLate);
+    this.offers.adjust(endpoints, want, needed);
     this.#logChange({ want, endpoints, arrivingCpuMillis, usedShare });
     const silent = endpoints
       .filter((each) => each.silentMs >= unresponsiveMs)
@@ -167,6 +169,21 @@
     return this.deps.createLateFilter(this.deps.clock.wall());
   }
 
+  /**
+   * Returns the endpoints that must stay open for waiting tasks; none if all do,
+   * as no more than `want` are open.
+   */
+  #neededEndpoints(
+    { jobs, endpoints }: Pick<PoolReport, "jobs" | "endpoints">,
+    want: number,
+    isLate: IsLate,
+  ): ReadonlySet<string> {
+    const open = endpoints.filter((each) => each.isOpen);
+    if (open.length <= want) return new Set();
+    const offered = new Set(this.offers.offered);
+    return neededEndpoints({ jobs, endpoints: open, offered, isLate, want });
+  }
+
   /**
    * Logs the demand when the number of wanted hosts has changed, and when the
    * first endpoint closes or none does any more.
--- a/src/capacity/host_demand.ts
+++ b/src/capacity/host_demand.ts
@@ -32,8 +32,8 @@
 /** Minimum number of hosts of a pool. */
 const minHosts = 2;
 
-/** Weight of the CPU and memory of late jobs in the need of a pool. */
-const lateWorkWeight = 0.25;
+/** Share of the CPU and memory of late tasks that counts for a pool's need. */
+export const lateWorkWeight = 0.25;
 
 /**
  * Returns whether a task of a size fits on a known host. GPUs are left out: hosts
--- a/src/capacity/host_offers.ts
+++ b/src/capacity/host_offers.ts
@@ -38,6 +38,9 @@
   protectedWorkFrom: Infinity,
 };
 
+/** No endpoint is needed for itself. */
+const noEndpoints: ReadonlySet<string> = new Set();
+
 /** Host offers of one shard. */
 export class HostOffers {
   readonly #offered = new Set<string>();
@@ -88,23 +91,33 @@
 
   /**
    * Adjusts the offers to the number of hosts that the pool needs: closes and
-   * offers surplus endpoints, or withdraws offers.
+   * offers surplus endpoints, or withdraws offers. The endpoints `needed`, which
+   * have room for waiting tasks, are kept open whatever that number is.
    */
-  adjust(endpoints: readonly PoolEndpoint[], wantedHosts: number): void {
+  adjust(
+    endpoints: readonly PoolEndpoint[],
+    wantedHosts: number,
+    needed = noEndpoints,
+  ): void {
     const open = endpoints.filter((each) => each.isOpen);
     const ids = new Set(open.map((each) => each.id));
     for (const id of this.#offered) {
       if (!ids.has(id)) this.#offered.delete(id);
     }
     this.#closing.clear();
+    this.#withdraw(this.offered.filter((id) => needed.has(id)));
     const available = open.length - this.#offered.size;
-    if (available < wantedHosts) this.#withdraw(wantedHosts - available);
-    else this.#closeAndOffer(open, available - wantedHosts);
+    const surplus = available - wantedHosts;
+    if (surplus < 0) this.#withdraw(this.offered.slice(0, -surplus));
+    else {
+      const closable = open.filter(({ id }) => !needed.has(id));
+      this.#closeAndOffer(closable, surplus);
+    }
   }
 
-  /** Withdraws at most `count` offers. */
-  #withdraw(count: number): void {
-    for (const id of [...this.#offered].slice(0, count)) {
+  /** Withdraws offers. */
+  #withdraw(offered: readonly string[]): void {
+    for (const id of offered) {
       this.#offered.delete(id);
       this.#withdrawn.set(id, unconfirmed);
     }
--- a/src/capacity/index.ts
+++ b/src/capacity/index.ts
@@ -1,7 +1,8 @@
 /**
  * Sizes of pools, from arriving work to hosts. The rate of arriving work
  * (`arrival_rate`) and the open tasks give a pool's demand for hosts
- * (`host_demand`). Endpoints beyond the demand are offered (`host_offers`). The
+ * (`host_demand`). Endpoints beyond the demand that no waiting task needs
+ * (`needed_endpoints`) are offered (`host_offers`). The
  * pool's owner reports both (`demand_reporter`, `pool_demand`), and the fleet's
  * owner plans the moves from all reports (`host_moves`).
  */
@@ -10,6 +11,10 @@
 export { computeHostDemand } from "./host_demand.ts";
 export { type HostMove, planHostMoves } from "./host_moves.ts";
 export { HostOffers } from "./host_offers.ts";
+export {
+  neededEndpoints,
+  type NeededEndpointsInput,
+} from "./needed_endpoints.ts";
 export {
   type PoolDemand,
   poolDemandKey,
--- a/src/capacity/pool_state.ts
+++ b/src/capacity/pool_state.ts
@@ -16,6 +16,11 @@
 export interface PoolEndpoint {
   readonly id: string;
   readonly capacity: Resources;
+  /** Resources that the runs there reserve. */
+  readonly used: Resources;
+  /** The part of them that long-running runs reserve. */
+  readonly usedByLongRunning: Resources;
+  readonly labels: readonly string[];
   /** Whether tasks may be placed there. */
   readonly isOpen: boolean;
   /** Number of runs that may be in progress there. */
--- a/src/scheduler/pool_endpoint.ts
+++ b/src/scheduler/pool_endpoint.ts
@@ -1,4 +1,9 @@
 /** Describes a session to the computation of the pool's demand for hosts. */
+import {
+  addResources,
+  noResources,
+  reservedResources,
+} from "../batch/index.ts";
 import type { PoolEndpoint } from "../capacity/index.ts";
 import type { EndpointSession } from "./endpoint_session.ts";
 
@@ -12,10 +17,16 @@
   isVacated: boolean,
   now: number,
 ): PoolEndpoint {
-  const { endpoint, runs } = session;
+  const { endpoint, runs, used } = session;
   return {
     id: endpoint.id,
     capacity: endpoint.capacity,
+    used,
+    usedByLongRunning: [...runs.values()]
+      .filter(({ step }) => step.longRunning)
+      .map(({ step }) => reservedResources(step))
+      .reduce(addResources, noResources),
+    labels: endpoint.labels,
     isOpen: session.isOpen && !isVacated,
     runCount: runs.size,
     hasLongRunningRuns: [...runs.values()].some((r) => r.step.longRunning),
--- a/test/capacity/host_demand_test.ts
+++ b/test/capacity/host_demand_test.ts
@@ -2,7 +2,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { plainStep } from "../../sim/jobs.ts";
-import type { StepSpec } from "../../src/batch/index.ts";
+import { noResources, type StepSpec } from "../../src/batch/index.ts";
 import {
   computeHostDemand,
   type PoolEndpoint,
@@ -13,6 +13,9 @@
 const endpoint: PoolEndpoint = {
   id: "a",
   capacity: { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 },
+  used: noResources,
+  usedByLongRunning: noResources,
+  labels: [],
   isOpen: true,
   runCount: 0,
   hasLongRunningRuns: false,
--- a/test/platform/submission_test.ts
+++ b/test/platform/submission_test.ts
@@ -9,7 +9,11 @@
   computeHostDemand,
   type PoolEndpoint,
 } from "../../src/capacity/index.ts";
-import { type JobSpec, maxTasksPerOccurrence } from "../../src/batch/index.ts";
+import {
+  type JobSpec,
+  maxTasksPerOccurrence,
+  noResources,
+} from "../../src/batch/index.ts";
 import { JobRegistry, RunTimes } from "../../src/scheduler/index.ts";
 import { queueForPool } from "../../sim/pools.ts";
 
@@ -57,6 +61,9 @@
 const endpoint: PoolEndpoint = {
   id: "a",
   capacity: { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
+  used: noResources,
+  usedByLongRunning: noResources,
+  labels: [],
   isOpen: true,
   runCount: 0,
   hasLongRunningRuns: false,
