Leave the process's own delay out of the platform's timeouts

Callers saw: a commit that the platform had refused with 429 was reported as possibly applied (7002 instead of 7001), once in http_platform_test beside load.

Cause: a process that stands still for longer than a call's timeout runs the expired timer before it reads the answer that has arrived. Timeouts of the platform's calls and of health checks and run queries of endpoints are now waited for in steps, of which each counts for twice its length at the most.

Ruled out: another status of the test's server; a fault of the test. The stand-ins now take requests without a body. Not changed: the client of deployed entries, whose outcome is "unknown" in that case, which is safe.

--- a/src/clock/index.ts
+++ b/src/clock/index.ts
@@ -1,4 +1,9 @@
-/** Sources of time, random numbers and ids. */
+/** Sources of time, random numbers and ids, and timeouts of calls. */
+export {
+  abortAfterResponsive,
+  afterResponsive,
+  type CallTimeout,
+} from "./call_timeout.ts";
 export {
   type Clock,
   delay,
--- a/src/endpoint/endpoint_client.ts
+++ b/src/endpoint/endpoint_client.ts
@@ -9,6 +9,7 @@
 import { Ok, type Result } from "ts-results";
 import { Pool } from "undici";
 import * as v from "valibot";
+import { abortAfterResponsive, systemClock } from "../clock/index.ts";
 import { codes, describeError, fail, type Failure } from "../errors/index.ts";
 import type { Host } from "../hosts/index.ts";
 import {
@@ -21,7 +22,9 @@
 
 /** Timeout for opening a connection, in ms. */
 const connectTimeoutMs = 800;
-/** Timeout of a run query or a health check, in ms. */
+/**
+ * Timeout of a run query or a health check, in ms, without delays of this process.
+ */
 const queryTimeoutMs = 1_000;
 /**
  * Idle time after which a connection is closed, in ms. It is short because a
@@ -176,8 +179,9 @@
       connections: 1,
       connectTimeout: connectTimeoutMs,
     });
+    const timeout = abortAfterResponsive(systemClock, queryTimeoutMs);
     try {
-      const signal = AbortSignal.timeout(queryTimeoutMs);
+      const { signal } = timeout;
       const res = await pool.request({ method: "GET", path, signal });
       const parsed = v.safeParse(schema, await res.body.json());
       if (res.statusCode === 200 && parsed.success) return Ok(parsed.output);
@@ -188,6 +192,7 @@
     } catch (err) {
       return fail(codes.connectionLost, describeError(err));
     } finally {
+      timeout.end();
       pool.destroy().catch(() => undefined);
     }
   }
--- a/src/platform/http_platform.ts
+++ b/src/platform/http_platform.ts
@@ -11,6 +11,7 @@
 import { Ok, type Result } from "ts-results";
 import { Pool } from "undici";
 import * as v from "valibot";
+import { abortAfterResponsive, systemClock } from "../clock/index.ts";
 import { codes, describeError, fail, type Failure } from "../errors/index.ts";
 import {
   type ObjectStore,
@@ -50,7 +51,7 @@
   readonly url: string;
   /** Availability zone of this process, sent with each call. */
   readonly zone: string;
-  /** Timeout of one call, in ms. */
+  /** Timeout of one call, in ms, without delays of this process. */
   readonly callTimeoutMs: number;
   /** Timeout of a transaction including its repeats, in ms. */
   readonly commitTimeoutMs: number;
@@ -255,14 +256,17 @@
     path: string,
     body?: string | Uint8Array,
   ): Promise<Result<HttpResponse, Failure>> {
-    const timeout = AbortSignal.timeout(this.options.callTimeoutMs);
+    const timeout = abortAfterResponsive(
+      systemClock,
+      this.options.callTimeoutMs,
+    );
     const pool = this.#pool;
     try {
       const res = await pool.request({
         method,
         path,
         body,
-        signal: timeout,
+        signal: timeout.signal,
         headers: {
           "content-type": "application/json",
           "platform-zone": this.options.zone,
@@ -278,6 +282,8 @@
       return Ok({ status, bytes });
     } catch (err) {
       return this.#handleCallError(pool, err);
+    } finally {
+      timeout.end();
     }
   }
 
--- a/test/platform/stand_in_server.ts
+++ b/test/platform/stand_in_server.ts
@@ -109,7 +109,8 @@
       text += chunk;
       for (let req = takeRequest(text); req; req = takeRequest(text)) {
         text = req.rest;
-        this.#handle(socket, incarnation, req.path, JSON.parse(req.body));
+        const body = req.body === "" ? {} : JSON.parse(req.body);
+        this.#handle(socket, incarnation, req.path, body);
       }
     });
   }
