Take no slots of an entry that may not send

Callers saw: 2019 (no connection to a host) from an entry that had stood still for a second, as beside heavy load.

Cause: after such a pause an entry sends nothing until it has read its registration. Its requests took slots of its own hosts all the same, and three attempts failed at once; other entries got its slots, too. It now has no slots meanwhile, so that requests go to other entries' hosts or wait until their latest start.

Ruled out: the connection timer counting the process's own delay, by reading.

--- a/src/pipeline/local_slots.ts
+++ b/src/pipeline/local_slots.ts
@@ -12,7 +12,7 @@
 import { type EndpointClient, isStream } from "../endpoint/index.ts";
 import type { Host } from "../hosts/index.ts";
 import type { EndpointRequest, Outcome } from "./request.ts";
-import type { SlotScheduler } from "./slot_scheduler.ts";
+import type { PoolLoad, SlotScheduler } from "./slot_scheduler.ts";
 import type { SlotOutcome } from "./ticket.ts";
 
 /** Interval in ms between queries whether a run is still in progress. */
@@ -38,6 +38,15 @@
     private readonly clock: Clock,
   ) {}
 
+  /**
+   * Returns the load of a pool on the owned hosts. While sending is not allowed
+   * it has no slots, so that requests use those of other entries, or wait.
+   */
+  load(pool: string): PoolLoad {
+    const load = this.scheduler.load(pool);
+    return this.guard.maySend() ? load : { ...load, slots: 0, free: 0 };
+  }
+
   /** Releases a granted slot that was not used. */
   releaseUnused(host: Host): void {
     this.scheduler.release(host.name, "neutral");
--- a/src/pipeline/router.ts
+++ b/src/pipeline/router.ts
@@ -124,7 +124,7 @@
   #freeElsewhere(placed: PlacedTicket): number {
     let free = 0;
     if (placed.target.entry !== undefined) {
-      const load = this.scheduler.load(placed.pool);
+      const load = this.local.load(placed.pool);
       if (load.queued === 0) free += load.free;
     }
     for (const [entry, load] of this.loads.of(placed.pool)) {
@@ -139,7 +139,7 @@
    * entry has a slot of the pool.
    */
   #chooseTarget(pool: string): PlacementTarget | undefined {
-    const own = this.scheduler.load(pool);
+    const own = this.local.load(pool);
     if (own.free > 0 && own.queued === 0) return {};
     let totalFree = 0;
     const loads = this.loads.of(pool);
--- a/src/pipeline/slot_server.ts
+++ b/src/pipeline/slot_server.ts
@@ -92,7 +92,7 @@
     if (row === undefined) {
       return this.#sendRefusal(entry, message.id, codes.unknownClass.code);
     }
-    if (this.scheduler.load(row.pool).slots === 0) {
+    if (this.local.load(row.pool).slots === 0) {
       return this.#sendRefusal(entry, message.id, codes.noHost.code);
     }
     const startBy = message.startInMs === undefined
