--- a/soak/judge_twice.ts
+++ b/soak/judge_twice.ts
@@ -29,17 +29,19 @@
 }
 
 /**
- * Whether a run began as its endpoint came out of a cut: its order had waited in
- * the network.
+ * Whether a run began as its endpoint came out of a cut, and after a run with a
+ * higher number: its order had waited in the network.
  */
 function isLate(
-  { endpoint, startedAt }: SeenRun,
+  { endpoint, startedAt, run }: SeenRun,
+  earlier: SeenRun,
   { disturbances }: PlayRecord,
 ): boolean {
-  return disturbances.some(({ what, who, to = Infinity }) =>
-    what === "cut" && who === endpoint &&
-    startedAt >= to && startedAt < to + lateStartMs
-  );
+  return run < earlier.run &&
+    disturbances.some(({ what, who, to = Infinity }) =>
+      what === "cut" && who === endpoint &&
+      startedAt >= to && startedAt < to + lateStartMs
+    );
 }
 
 /** How long two runs went on at the same time, in ms. */
@@ -58,10 +60,9 @@
   const other = findOverlap(run, earlier);
   if (other !== undefined) {
     const ms = overlapMs(run, other, record);
-    const hasLateOrder = isLate(run, record) || isLate(other, record);
     return {
       rule: "TWICE",
-      part: hasLateOrder ? "overlap by a late order" : "overlap",
+      part: isLate(run, other, record) ? "overlap by a late order" : "overlap",
       job,
       task,
       at,
--- a/test/soak/judge_twice_test.ts
+++ b/test/soak/judge_twice_test.ts
@@ -43,11 +43,19 @@
     it("are told apart if an order had waited in a cut", () => {
       const cut = { what: "cut", who: "i-2", from: 1_000, to: 5_290 } as const;
       record.disturbances.push(cut);
-      addRun(record, { startedAt: 100 });
-      addRun(record, { run: 2, endpoint: "i-2", startedAt: 5_300 });
+      addRun(record, { run: 2, startedAt: 100 });
+      addRun(record, { run: 1, endpoint: "i-2", startedAt: 5_300 });
       assert.deepEqual(parts(), ["overlap by a late order"]);
     });
 
+    it("are by no late order if the later run has the higher number", () => {
+      const cut = { what: "cut", who: "i-2", from: 1_000, to: 5_290 } as const;
+      record.disturbances.push(cut);
+      addRun(record, { run: 1, startedAt: 100 });
+      addRun(record, { run: 2, endpoint: "i-2", startedAt: 5_300 });
+      assert.deepEqual(parts(), ["overlap"]);
+    });
+
     it("are not found if the second begins as the first one ends", () => {
       addRun(record, { startedAt: 100, endedAt: 5_300, end: "lapsed" });
       addRun(record, { run: 2, endpoint: "i-2", startedAt: 5_300 });
