Settle runs at a restarted endpoint without waiting for an end (LOST)

After a takeover a restarted endpoint tells by two lists, before and after a stop, that the runs of its former life are not there. Each hold waited up to 1 s for the end of a run, of which there is none: 3 s from the new session to the next start, while the jobs had nothing running. The holds now wait 250 ms while a run is doubtful, or is being stopped and was never listed.

--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -26,11 +26,13 @@
 export const holdWaitMs = 1_000;
 
 /**
- * The same while a long-running task starts up, in ms. It is shorter because
- * the next task of the step may be moved only once this one is known to be
- * serving.
+ * The same while a long-running task starts up, or while it is not known whether
+ * a run is in progress, in ms. It is shorter because the next task of the step may
+ * be moved only once this one is known to be serving, and because the endpoint
+ * tells by two lists, before and after a stop, that a run is not there: a task
+ * stands still meanwhile, and no end of it ends the wait.
  */
-const startupHoldWaitMs = 250;
+const shortHoldWaitMs = 250;
 
 /** Pause between two holds of an endpoint without runs, in ms. */
 const idleHoldPauseMs = 10_000;
@@ -38,6 +40,16 @@
 /** Pause after a failed hold, in ms. */
 const holdRetryPauseMs = 250;
 
+/**
+ * Whether it is not known of some run if it is in progress: it is doubtful, or it
+ * is being stopped and was never listed.
+ */
+function hasUnsettledRun({ runs }: EndpointSession): boolean {
+  return [...runs.values()].some(({ phase, percent }) =>
+    phase === "doubtful" || (phase === "stopping" && percent === -1)
+  );
+}
+
 /** The hold loops of one shard's endpoints. */
 export class EndpointHolds {
   /** Functions that end the current pause of each hold loop. */
@@ -107,8 +119,9 @@
    */
   #holdWaitMs(session: EndpointSession): number {
     if (!session.fenced || session.runs.size === 0) return 0;
-    const isStarting = isStartingUp(session, this.deps.clock.now());
-    return isStarting ? startupHoldWaitMs : holdWaitMs;
+    const isShort = isStartingUp(session, this.deps.clock.now()) ||
+      hasUnsettledRun(session);
+    return isShort ? shortHoldWaitMs : holdWaitMs;
   }
 
   /** Logs a failed hold and acts on its reason; returns the pause, in ms. */
