--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -324,6 +324,11 @@
     this.#registrations.setBack(entry.registry, ageMs, lagMs);
   }
 
+  /** Whether the provider of hosts lists none, so that none is moved. */
+  set isProviderAway(isAway: boolean) {
+    this.#hosts.isProviderAway = isAway;
+  }
+
   /**
    * Begins to watch for work that stands still. It is judged by the rule LOST;
    * jobs that don't last only after `endTraffic`.
@@ -359,6 +364,7 @@
     this.store.delayFactor = 1;
     this.lateShare = 0;
     this.maxOrderDelayMs = 0;
+    this.isProviderAway = false;
     this.keptOrders = undefined;
     this.#hosts.writeOwnRows();
     for (const entry of this.entries.values()) {
