--- a/sim/model_hosts.ts
+++ b/sim/model_hosts.ts
@@ -111,6 +111,7 @@
     this.registrations.unregister(endpoint.info);
     this.environment.clock.after(downMs, () => {
       endpoint.isIsolated = false;
+      endpoint.deliverPending();
       this.#writeOwnRow(host);
     });
   }
@@ -127,6 +128,7 @@
     endpoint.isDisconnected = true;
     this.environment.clock.after(downMs, () => {
       endpoint.isDisconnected = false;
+      endpoint.deliverPending();
       this.#writeOwnRow(host);
     });
   }
