--- a/test/capacity/host_demand_test.ts
+++ b/test/capacity/host_demand_test.ts
@@ -2,25 +2,13 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { plainStep } from "../../sim/jobs.ts";
-import { noResources, type StepSpec } from "../../src/batch/index.ts";
-import {
-  computeHostDemand,
-  type PoolEndpoint,
-} from "../../src/capacity/index.ts";
+import type { StepSpec } from "../../src/batch/index.ts";
+import { computeHostDemand } from "../../src/capacity/index.ts";
 import { openJob } from "../scheduler/jobs.ts";
+import { poolEndpoint } from "./pool_endpoints.ts";
 
 /** An endpoint of four cores. */
-const endpoint: PoolEndpoint = {
-  id: "a",
-  capacity: { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 },
-  used: noResources,
-  usedByLongRunning: noResources,
-  labels: [],
-  isOpen: true,
-  runCount: 0,
-  hasLongRunningRuns: false,
-  silentMs: 0,
-};
+const endpoint = poolEndpoint("a");
 
 /** A long-running step of which two tasks may share an endpoint. */
 const spreadStep: StepSpec = {
--- a/test/capacity/host_offers_test.ts
+++ b/test/capacity/host_offers_test.ts
@@ -1,20 +1,10 @@
 /** Tests offers of empty endpoints, including those of an earlier owner. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { noResources } from "../../src/batch/index.ts";
-import { HostOffers, type PoolEndpoint } from "../../src/capacity/index.ts";
+import { HostOffers } from "../../src/capacity/index.ts";
+import { poolEndpoint } from "./pool_endpoints.ts";
 
-const endpoints = ["a", "b", "c"].map((id): PoolEndpoint => ({
-  id,
-  capacity: { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 },
-  used: noResources,
-  usedByLongRunning: noResources,
-  labels: [],
-  isOpen: true,
-  runCount: 0,
-  hasLongRunningRuns: false,
-  silentMs: 0,
-}));
+const endpoints = ["a", "b", "c"].map((id) => poolEndpoint(id));
 
 describe("host offers", () => {
   describe("when the pool needs fewer hosts", () => {
--- a/test/capacity/late_work_test.ts
+++ b/test/capacity/late_work_test.ts
@@ -3,12 +3,9 @@
 import { describe, it } from "node:test";
 import { makeJob, plainStep } from "../../sim/jobs.ts";
 import { VirtualClock } from "../../sim/virtual_clock.ts";
-import {
-  initialProgress,
-  noResources,
-  openOccurrences,
-} from "../../src/batch/index.ts";
-import { DemandReporter, type PoolEndpoint } from "../../src/capacity/index.ts";
+import { initialProgress, openOccurrences } from "../../src/batch/index.ts";
+import { DemandReporter } from "../../src/capacity/index.ts";
+import { poolEndpoint } from "./pool_endpoints.ts";
 
 const pool = "quotes";
 
@@ -18,22 +15,14 @@
 /** Time until a report is stored, in ms. */
 const storeMs = 20;
 
-/** An endpoint of 16 cores without tasks. */
-function emptyEndpoint(id: string): PoolEndpoint {
-  return {
-    id,
-    capacity: { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
-    used: noResources,
-    usedByLongRunning: noResources,
-    labels: [],
-    isOpen: true,
-    runCount: 0,
-    hasLongRunningRuns: false,
-    silentMs: 0,
-  };
-}
-
-const endpoints = Array.from({ length: 12 }, (_, i) => emptyEndpoint(`e${i}`));
+/** Twelve endpoints of 16 cores without tasks. */
+const endpoints = Array.from(
+  { length: 12 },
+  (_, i) =>
+    poolEndpoint(`e${i}`, {
+      capacity: { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
+    }),
+);
 
 /** A job whose only task waits. */
 function waitingJob(n: number) {
--- a/test/capacity/needed_endpoints_test.ts
+++ b/test/capacity/needed_endpoints_test.ts
@@ -8,29 +8,12 @@
   type PoolEndpoint,
 } from "../../src/capacity/index.ts";
 import { openJob } from "../scheduler/jobs.ts";
+import { poolEndpoint } from "./pool_endpoints.ts";
 
 const capacity = { cpuMillis: 4_000, memoryMb: 8_000, gpus: 0 };
 
-function endpoint(
-  id: string,
-  changes: Partial<PoolEndpoint> = {},
-): PoolEndpoint {
-  return {
-    id,
-    capacity,
-    used: noResources,
-    usedByLongRunning: noResources,
-    labels: [],
-    isOpen: true,
-    runCount: 0,
-    hasLongRunningRuns: false,
-    silentMs: 0,
-    ...changes,
-  };
-}
-
 /** An endpoint with a run that uses half of it. */
-const halfUsed = endpoint("half", {
+const halfUsed = poolEndpoint("half", {
   runCount: 1,
   used: { ...noResources, cpuMillis: 2_000 },
 });
@@ -59,10 +42,10 @@
 }
 
 describe("the endpoints that waiting tasks need", () => {
-  const empty = [endpoint("a"), endpoint("b")];
+  const empty = [poolEndpoint("a"), poolEndpoint("b")];
 
   describe("that can only be late", () => {
-    const full = endpoint("full", { runCount: 4, used: capacity });
+    const full = poolEndpoint("full", { runCount: 4, used: capacity });
 
     // Guards against a pool that gives no host away: late tasks kept all endpoints
     // open, one after another.
@@ -94,8 +77,8 @@
   });
 
   it("are open ones", () => {
-    const closed = endpoint("a", { isOpen: false });
-    assert.deepEqual(needed([closed, endpoint("b")], [coreStep(1)]), ["b"]);
+    const closed = poolEndpoint("a", { isOpen: false });
+    assert.deepEqual(needed([closed, poolEndpoint("b")], [coreStep(1)]), ["b"]);
   });
 
   it("have fewer tasks of a step than its limit", () => {
@@ -114,7 +97,7 @@
   });
 
   it("need no room for the cores of a filler", () => {
-    const full = endpoint("full", {
+    const full = poolEndpoint("full", {
       runCount: 1,
       used: { ...noResources, cpuMillis: 4_000 },
     });
--- a/test/platform/submission_test.ts
+++ b/test/platform/submission_test.ts
@@ -4,18 +4,11 @@
 import { describe, it } from "node:test";
 import fc from "fast-check";
 import { decodeSubmission } from "../../platform/decode_submission.ts";
-import {
-  ArrivalRate,
-  computeHostDemand,
-  type PoolEndpoint,
-} from "../../src/capacity/index.ts";
-import {
-  type JobSpec,
-  maxTasksPerOccurrence,
-  noResources,
-} from "../../src/batch/index.ts";
+import { ArrivalRate, computeHostDemand } from "../../src/capacity/index.ts";
+import { type JobSpec, maxTasksPerOccurrence } from "../../src/batch/index.ts";
 import { JobRegistry, RunTimes } from "../../src/scheduler/index.ts";
 import { queueForPool } from "../../sim/pools.ts";
+import { poolEndpoint } from "../capacity/pool_endpoints.ts";
 
 const id = "5c0e7a21d94b36f8";
 const queue = queueForPool("quotes");
@@ -58,17 +51,9 @@
 /** A job of which more occurrences are overdue than may be open at once. */
 const overdue = { phases: [{ count: 1 }], repeatCount: 90_000 };
 
-const endpoint: PoolEndpoint = {
-  id: "a",
+const endpoint = poolEndpoint("a", {
   capacity: { cpuMillis: 16_000, memoryMb: 65_536, gpus: 0 },
-  used: noResources,
-  usedByLongRunning: noResources,
-  labels: [],
-  isOpen: true,
-  runCount: 0,
-  hasLongRunningRuns: false,
-  silentMs: 0,
-};
+});
 
 function decode(text: string) {
   return decodeSubmission(text, id, queue, 0);
--- a/test/sim/restart_before_takeover_test.ts
+++ b/test/sim/restart_before_takeover_test.ts
@@ -1,28 +1,14 @@
 /** Endpoints that restart just before their owner ends and they are cut off. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { makeJob } from "../../sim/jobs.ts";
-import {
-  busyHosts,
-  endSimulation,
-  settledSimulation,
-} from "./settled_simulation.ts";
+import { LongTaskDay } from "./long_task_day.ts";
 
 /** Time for which the endpoint is down, in ms. */
 const downMs = 600;
 
-/** Time on the endpoint's clock before the crash, in ms; longer than any lease. */
-const earlierMs = 15_000;
-
 /** Times from the crash of the endpoint to the kill of the owner, in ms. */
 const killAfterMs = [650, 700, 800, 1_000, 1_200, 1_500, 1_800, 2_100];
 
-/** Demand of a task, of which an endpoint has room for many. */
-const smallDemand = { cpuMillis: 100, memoryMb: 100, gpus: 0 };
-
-/** Number of jobs that come. */
-const maxJobs = 60;
-
 /** Time after which a killed process is started again, in ms. */
 const processRestartMs = 300;
 
@@ -41,37 +27,16 @@
   seed: number,
   { killAfterMs, cutAfterMs }: Scenario,
 ): Promise<readonly string[]> {
-  const sim = await settledSimulation({
-    seed,
-    hostsPerPool: 4,
-    workFactor: 24,
-  });
-  await sim.advance(earlierMs);
-  let jobs = 0;
-  const submitFor = async (ms: number) => {
-    for (let passed = 0; passed < ms; passed += 50) {
-      const live = [...sim.entries.values()].filter((e) => !e.process.isDead);
-      const job = makeJob(++jobs, "single", "quotes", sim.clock.wall());
-      const steps = [{ ...job.steps[0], demand: smallDemand }];
-      const entry = live[jobs % live.length].name;
-      if (jobs < maxJobs) sim.submit({ ...job, steps }, entry);
-      await sim.advance(50);
-    }
-  };
-  await submitFor(600);
-  const [host] = busyHosts(sim);
-  sim.restartEndpoint(host, downMs, true);
-  await submitFor(killAfterMs ?? downMs);
-  if (killAfterMs !== undefined) {
-    const owner = sim.ownerOf("quotes") ?? "";
-    sim.killEntry(owner);
-    sim.clock.after(processRestartMs, () => sim.startEntry(owner));
-  }
-  await submitFor(cutAfterMs);
-  sim.disconnectHost(host, cutMs);
-  await submitFor(20_000);
-  endSimulation(sim);
-  return sim.oracle.violations;
+  const day = await LongTaskDay.begin(seed);
+  await day.advance(600);
+  const host = day.busyHost();
+  day.sim.restartEndpoint(host, downMs, true);
+  await day.advance(killAfterMs ?? downMs);
+  if (killAfterMs !== undefined) day.killOwner(processRestartMs);
+  await day.advance(cutAfterMs);
+  day.sim.disconnectHost(host, cutMs);
+  await day.advance(20_000);
+  return day.end();
 }
 
 describe("an endpoint that restarts and is cut off soon after", () => {
