--- a/src/scheduler/endpoint_holds.ts
+++ b/src/scheduler/endpoint_holds.ts
@@ -44,7 +44,7 @@
  * Whether it is not known of some run if it is in progress: it is doubtful, or it
  * is being stopped and was never listed.
  */
-function hasUnsettledRun({ runs }: EndpointSession): boolean {
+function hasDoubtfulRun({ runs }: EndpointSession): boolean {
   return [...runs.values()].some(({ phase, percent }) =>
     phase === "doubtful" || (phase === "stopping" && percent === -1)
   );
@@ -120,7 +120,7 @@
   #holdWaitMs(session: EndpointSession): number {
     if (!session.fenced || session.runs.size === 0) return 0;
     const isShort = isStartingUp(session, this.deps.clock.now()) ||
-      hasUnsettledRun(session);
+      hasDoubtfulRun(session);
     return isShort ? shortHoldWaitMs : holdWaitMs;
   }
 
--- a/src/scheduler/endpoint_lease.ts
+++ b/src/scheduler/endpoint_lease.ts
@@ -54,7 +54,7 @@
 
 /** Times after which nothing can run at an endpoint unless its lease is extended. */
 export interface LeaseBound {
-  /** For runs that the incarnation has acknowledged which orders were meant for. */
+  /** For acknowledged runs: they ended with the incarnation if it has ended. */
   readonly endsBy: number;
   /**
    * For other runs: a later incarnation may have carried out their start, and
@@ -64,13 +64,13 @@
 }
 
 /** The part of a run that decides which bound holds for it. */
-export interface AcknowledgedRun {
-  /** Whether the incarnation that its start was meant for has acknowledged it. */
+export interface BoundedRun {
+  /** Whether the incarnation of the endpoint's session has acknowledged it. */
   readonly isAcknowledged: boolean;
 }
 
 /** Time after which a run can't be in progress unless its lease is extended. */
-export function runEndsBy(run: AcknowledgedRun, bound: LeaseBound): number {
+export function runEndsBy(run: BoundedRun, bound: LeaseBound): number {
   return run.isAcknowledged ? bound.endsBy : bound.longestEndsBy;
 }
 
