Log which ends a hold acknowledges, and a run that vanishes without an end

The log of an endpoint that restarts did not tell the hypotheses of docs/incidents/discarded-ends.md apart. hold-failed now says up to which number the hold acknowledged ends, other-life-answered that another incarnation answered it, and end-missing that a run which was listed as running is gone and has no end.

--- a/src/sessions/endpoint_holds.ts
+++ b/src/sessions/endpoint_holds.ts
@@ -14,11 +14,12 @@
 import { isStartingUp, type RunOrders } from "../runs/index.ts";
 import {
   type DriverDependencies,
+  logRunDecision,
   maxCommitAgeForHoldMs,
   type SessionControl,
 } from "./driver_dependencies.ts";
 import { runEndsBy } from "./endpoint_lease.ts";
-import type { EndpointSession } from "./endpoint_session.ts";
+import type { EndpointSession, Run } from "./endpoint_session.ts";
 import { noFailures, withFailure } from "./failure_history.ts";
 
 /** Time for which an endpoint keeps a hold open until a task ends, in ms. */
@@ -39,13 +40,18 @@
 /** Pause after a failed hold, in ms. */
 const holdRetryPauseMs = 250;
 
+/** Whether the session's incarnation has listed a run as running. */
+function isListed({ percent }: Run): boolean {
+  return percent !== -1;
+}
+
 /**
  * Whether it is not known of some run if it is in progress: it is doubtful, or it
  * is being stopped and was never listed.
  */
 function hasDoubtfulRun({ runs }: EndpointSession): boolean {
-  return [...runs.values()].some(({ phase, percent }) =>
-    phase === "doubtful" || (phase === "stopping" && percent === -1)
+  return [...runs.values()].some((run) =>
+    run.phase === "doubtful" || (run.phase === "stopping" && !isListed(run))
   );
 }
 
@@ -95,20 +101,22 @@
     const leaseUntil = extendsLease
       ? session.lease.nextLeaseUntil(sentAt)
       : undefined;
+    // Another incarnation may answer, whose ends have the same numbers.
+    const recordedSeq = session.silent || session.lease.hasOtherClock
+      ? 0
+      : session.recordedEndSeq;
     const outcome = await orders.hold(session.endpoint, {
       term: lease.term,
-      // Another incarnation may answer, whose ends have the same numbers.
-      recordedSeq: session.silent || session.lease.hasOtherClock
-        ? 0
-        : session.recordedEndSeq,
+      recordedSeq,
       ...(leaseUntil !== undefined && { leaseUntil }),
       waitMs: extendsLease ? this.#holdWaitMs(session) : 0,
     });
     if (this.control.isStopped || session.closed) return 0;
     if (outcome.kind === "lists") {
+      this.#logOtherLife(session, outcome.lists, recordedSeq);
       return await this.#handleLists(session, outcome.lists, sentAt);
     }
-    return this.#handleHoldFailure(session, outcome);
+    return this.#handleHoldFailure(session, outcome, recordedSeq);
   }
 
   /**
@@ -127,6 +135,7 @@
   #handleHoldFailure(
     session: EndpointSession,
     outcome: Exclude<HoldOutcome, { kind: "lists" }>,
+    recordedSeq: number,
   ): number {
     const { clock, log, shard } = this.deps;
     const now = clock.now();
@@ -138,6 +147,7 @@
       shard,
       endpoint: session.endpoint.id,
       reason,
+      recordedSeq,
       runs: session.runs.size,
       leaseLeftMs: Math.round(session.lease.bound.endsBy - now),
     });
@@ -162,6 +172,24 @@
     }
   }
 
+  /** Logs that another incarnation than the session's has answered a hold. */
+  #logOtherLife(
+    { endpoint: { id, life } }: EndpointSession,
+    lists: EndpointLists,
+    recordedSeq: number,
+  ): void {
+    if (lists.life === life) return;
+    const { log, shard, lease } = this.deps;
+    log.decision("other-life-answered", {
+      shard,
+      term: lease.term,
+      endpoint: id,
+      life,
+      answeredLife: lists.life,
+      recordedSeq,
+    });
+  }
+
   /**
    * Processes the answer of a hold; returns the pause until the next, in ms.
    */
@@ -214,6 +242,7 @@
       );
     }
     for (const run of result.unresolved) {
+      if (isListed(run)) this.#logMissingEnd(session, run);
       this.runOrders.stop(session, run, "not listed");
     }
     for (const listed of result.foreign) {
@@ -222,6 +251,23 @@
     }
   }
 
+  /**
+   * Logs that a run which the endpoint has listed as running is no longer in its
+   * lists, and no end of it is.
+   */
+  #logMissingEnd(session: EndpointSession, run: Run): void {
+    const { lastSeenEndSeq, recordedEndSeq, endpoint: { life } } = session;
+    const logFields = { life, lastSeenEndSeq, recordedEndSeq };
+    logRunDecision(
+      this.deps,
+      "end-missing",
+      session,
+      run,
+      "not listed",
+      logFields,
+    );
+  }
+
   /** Processes the end of a run, and updates its endpoint's failure history. */
   #handleEnd(session: EndpointSession, ended: EndedTask): void {
     const { task, run: runNumber, end, checkpoint } = ended;
