--- a/src/sessions/endpoint_holds.ts
+++ b/src/sessions/endpoint_holds.ts
@@ -44,8 +44,9 @@
 const holdRetryPauseMs = 250;
 
 /**
- * Pause while ends can't be discarded yet, in ms. Meanwhile the endpoint answers
- * each hold at once.
+ * Pause before a hold while recorded ends wait to be discarded, in ms: the
+ * endpoint answers each hold at once meanwhile. It lets one discard cover further
+ * ends, and lets starts be answered that keep it back.
  */
 const discardPauseMs = 50;
 
@@ -89,8 +90,8 @@
     while (!this.control.isStopped && !session.closed) {
       const pause = await this.#sendHold(session);
       if (this.control.isStopped || session.closed) break;
-      const isBlocked = session.isDiscardDue && !session.mayDiscard;
-      const pauseMs = isBlocked ? Math.max(pause, discardPauseMs) : pause;
+      const leastPause = session.isDiscardDue ? discardPauseMs : 0;
+      const pauseMs = Math.max(pause, leastPause);
       if (pauseMs > 0) await this.#pause(session, pauseMs);
     }
     this.#resumeBySession.delete(session);
