Let no start wait for a discard that is slow to be answered

By reading: a start waited for the discard's outcome, so up to a timeout of 1 s where endpoints leave orders unanswered.

--- a/src/placement/planner.ts
+++ b/src/placement/planner.ts
@@ -91,7 +91,7 @@
   const endpoints: EndpointCandidate[] = [];
   for (const session of sessions) {
     const { id } = session.endpoint;
-    if (!session.isOpen || session.noStartUntil > now) continue;
+    if (!session.mayStartRuns(now)) continue;
     if (policy.isClosed(id)) continue;
     const endpoint = new EndpointCandidate(
       session,
--- a/src/runs/run_orders.ts
+++ b/src/runs/run_orders.ts
@@ -57,10 +57,19 @@
    * wanted, or the endpoint cannot take it any more.
    */
   async start(session: EndpointSession, run: Run): Promise<void> {
-    await session.discardGate.sendStart(() => this.#sendStart(session, run));
+    await session.discardGate.sendStart(
+      () => this.#sendStart(session, run),
+      () => this.#giveUpStart(session, run, "a discard is unanswered"),
+    );
     this.control.holdNow(session);
   }
 
+  /** Ends a run that was not started, unless it has ended. */
+  #giveUpStart(session: EndpointSession, run: Run, reason: string): void {
+    if (this.control.isStopped || session.runs.get(run.name) !== run) return;
+    this.control.finishRun(session, run, "not-started", reason);
+  }
+
   async #sendStart(session: EndpointSession, run: Run): Promise<void> {
     const { lease, clock, orders } = this.deps;
     if (this.control.isStopped || session.runs.get(run.name) !== run) return;
@@ -71,8 +80,7 @@
       : undefined;
     if (leaseUntil === undefined) {
       const reason = obstacle ?? "clock not known";
-      this.control.finishRun(session, run, "not-started", reason);
-      return;
+      return this.#giveUpStart(session, run, reason);
     }
     this.#setPhase(run, "starting");
     run.progressedAt = clock.now();
--- a/src/sessions/endpoint_holds.ts
+++ b/src/sessions/endpoint_holds.ts
@@ -149,6 +149,7 @@
     if (recordedSeq === 0) return await orders.hold(endpoint, order);
     discardGate.beginDiscard();
     const cancel = clock.after(slowDiscardMs, () => {
+      discardGate.markSlow();
       this.discards.markSlow(endpoint);
       this.#storeDiscard(endpoint);
     });
--- a/src/sessions/endpoint_session.ts
+++ b/src/sessions/endpoint_session.ts
@@ -323,6 +323,11 @@
       this.lease.isClockKnown;
   }
 
+  /** Whether a run may be started there at the time `now`. */
+  mayStartRuns(now: number): boolean {
+    return this.isOpen && !this.discardGate.isSlow && this.noStartUntil <= now;
+  }
+
   /** Whether ends are recorded that the endpoint has not discarded. */
   get isDiscardDue(): boolean {
     return this.recordedEndSeq > this.discardedEndSeq;
--- a/test/sessions/discard_gate_test.ts
+++ b/test/sessions/discard_gate_test.ts
@@ -7,9 +7,14 @@
   let gate: DiscardGate;
   let answers: (() => void)[];
 
+  let givenUp: number;
+
   /** Sends a start that is answered by a function in `answers`. */
   const sendStart = () =>
-    gate.sendStart(() => new Promise((resolve) => answers.push(resolve)));
+    gate.sendStart(
+      () => new Promise((resolve) => answers.push(resolve)),
+      () => givenUp++,
+    );
 
   /** Lets promises settle. */
   const settle = () => new Promise((resolve) => setImmediate(resolve));
@@ -17,6 +22,7 @@
   beforeEach(() => {
     gate = new DiscardGate();
     answers = [];
+    givenUp = 0;
   });
 
   it("keeps a start back until the discard has an outcome", async () => {
@@ -42,11 +48,28 @@
   });
 
   it("goes on after a start that throws", async () => {
-    const failing = gate.sendStart(() => Promise.reject(new Error("x")));
+    const failing = gate.sendStart(
+      () => Promise.reject(new Error("x")),
+      () => {},
+    );
     await assert.rejects(failing);
     assert.equal(gate.mayDiscard, true);
   });
 
+  // Guards against starts that stand still for as long as a call may take.
+  it("gives up the starts that wait for a slow discard", async () => {
+    gate.beginDiscard();
+    const waiting = sendStart();
+    gate.markSlow();
+    await waiting;
+    await sendStart();
+    assert.equal(givenUp, 2);
+    gate.endDiscard();
+    sendStart();
+    assert.equal(answers.length, 1);
+    assert.equal(gate.isSlow, false);
+  });
+
   it("lets no discard begin during another", () => {
     gate.beginDiscard();
     assert.equal(gate.mayDiscard, false);
