Send discards in a module of their own; count one whose session ends

By reading: when a session was replaced while its discard was on its way, the next incarnation's session opened before the discard was noted, for up to 50 ms. It counts as unconfirmed from the end of the session now; the test of end_discards shows it.

--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -122,7 +122,8 @@
           queues: this.jobs.waitingByQueue(),
         }),
       encodeRunTimes: () => this.#runTimes.encode(),
-      encodeUnconfirmedDiscards: () => this.driver.unconfirmedDiscards.encode(),
+      encodeUnconfirmedDiscards: () =>
+        this.driver.discards.unconfirmed.encode(),
     });
     this.#outlook = new OutlookReporter(shard, clock, this.#runTimes);
     this.#recorder = new RunRecorder({
@@ -240,7 +241,7 @@
     this.jobs.loadStoredProgress(stored.progress);
     this.#demandReporter.withdrawInherited(stored.demand);
     this.#runTimes.load(stored.runTimes);
-    this.driver.unconfirmedDiscards.load(
+    this.driver.discards.unconfirmed.load(
       stored.unconfirmedDiscards,
       this.deps.clock.now(),
     );
--- a/src/sessions/discard_gate.ts
+++ b/src/sessions/discard_gate.ts
@@ -14,6 +14,11 @@
     return this.#unansweredStarts === 0 && !this.#isDiscarding;
   }
 
+  /** Whether a discard is unanswered. */
+  get isDiscarding(): boolean {
+    return this.#isDiscarding;
+  }
+
   /** Whether a discard is unanswered for so long that no start waits for it. */
   get isSlow(): boolean {
     return this.#isSlow;
--- a/src/sessions/driver_dependencies.ts
+++ b/src/sessions/driver_dependencies.ts
@@ -21,7 +21,8 @@
   maxUnsettledOrderMs,
   taskLeaseMs,
 } from "./endpoint_lease.ts";
-import type { EndpointSession, Run, RunPhase } from "./endpoint_session.ts";
+import type { EndpointSession } from "./endpoint_session.ts";
+import type { Run, RunPhase } from "./run.ts";
 
 /**
  * Age of the last successful commit from which an owner no longer extends the
--- a/src/sessions/endpoint_driver.ts
+++ b/src/sessions/endpoint_driver.ts
@@ -21,13 +21,14 @@
   type SessionControl,
   setPhase,
 } from "./driver_dependencies.ts";
+import { EndDiscards } from "./end_discards.ts";
 import { EndpointHolds } from "./endpoint_holds.ts";
 import { latestBound } from "./endpoint_lease.ts";
-import { createRun, EndpointSession, type Run } from "./endpoint_session.ts";
+import { EndpointSession } from "./endpoint_session.ts";
 import { EndedIncarnations } from "./ended_incarnations.ts";
 import { IncarnationCheck } from "./incarnation_check.ts";
 import { InheritedLeases } from "./inherited_leases.ts";
-import { UnconfirmedDiscards } from "./unconfirmed_discards.ts";
+import { createRun, type Run } from "./run.ts";
 import {
   type OrphanRun,
   OrphanRuns,
@@ -56,8 +57,8 @@
 export class EndpointDriver implements SessionControl {
   /** Sends the orders that start, stop and pace runs. */
   readonly runOrders: RunOrders;
-  /** Incarnations that may discard ends unread. */
-  readonly unconfirmedDiscards = new UnconfirmedDiscards();
+  /** Lets the endpoints discard recorded ends. */
+  readonly discards: EndDiscards;
   readonly #sessions = new Map<string, EndpointSession>();
   readonly #runIndex = new RunIndex();
   readonly #holds: EndpointHolds;
@@ -70,11 +71,12 @@
 
   constructor(private readonly deps: DriverDependencies) {
     this.runOrders = new RunOrders(deps, this);
+    this.discards = new EndDiscards(deps);
     this.#holds = new EndpointHolds(
       deps,
       this,
       this.runOrders,
-      this.unconfirmedDiscards,
+      this.discards,
     );
     this.#incarnations = new IncarnationCheck(deps);
     this.#inherited = new InheritedLeases(deps);
@@ -147,7 +149,7 @@
     for (const session of this.sessions()) {
       this.#holds.endExpiredRuns(session, clock.now());
     }
-    this.unconfirmedDiscards.prune(clock.now());
+    this.discards.unconfirmed.prune(clock.now());
     const lost = this.#orphans.takeLost(clock.now(), takenDown);
     for (const orphan of lost) this.#finishOrphan(orphan);
   }
@@ -320,6 +322,7 @@
   endSession(session: EndpointSession, reason: string): void {
     if (session.closed) return;
     session.closed = true;
+    this.discards.endSession(session);
     this.deps.orders.endIncarnation(session.endpoint);
     this.#logSession("session-ended", session, {
       reason,
@@ -400,7 +403,7 @@
       this.#addRun(session, run);
     }
     this.#logSession("session-opened", session, { adopted: orphans.length });
-    if (this.unconfirmedDiscards.mayHideEnds(endpoint, now)) {
+    if (this.discards.unconfirmed.mayHideEnds(endpoint, now)) {
       this.setAside(session, "a hold for a former incarnation may reach it");
     }
     for (const start of this.#settledStarts.arrivingAt(endpoint, now)) {
--- a/src/sessions/endpoint_holds.ts
+++ b/src/sessions/endpoint_holds.ts
@@ -9,9 +9,7 @@
 import type {
   EndedTask,
   EndpointLists,
-  HoldOrder,
   HoldOutcome,
-  TaskEndpoint,
 } from "../endpoint/index.ts";
 import { isStartingUp, type RunOrders } from "../runs/index.ts";
 import {
@@ -20,10 +18,11 @@
   maxCommitAgeForHoldMs,
   type SessionControl,
 } from "./driver_dependencies.ts";
+import type { EndDiscards } from "./end_discards.ts";
 import { runEndsBy } from "./endpoint_lease.ts";
-import type { EndpointSession, Run } from "./endpoint_session.ts";
+import type { EndpointSession } from "./endpoint_session.ts";
 import { noFailures, withFailure } from "./failure_history.ts";
-import type { UnconfirmedDiscards } from "./unconfirmed_discards.ts";
+import type { Run } from "./run.ts";
 
 /** Time for which an endpoint keeps a hold open until a task ends, in ms. */
 export const holdWaitMs = 1_000;
@@ -50,12 +49,6 @@
  */
 const discardPauseMs = 50;
 
-/**
- * Time without an answer from which a discard is stored as unconfirmed, in ms. An
- * owner that ends sooner leaves its successor without knowledge of it.
- */
-const slowDiscardMs = 50;
-
 /** Whether the session's incarnation has listed a run as running. */
 function isListed({ percent }: Run): boolean {
   return percent !== -1;
@@ -80,7 +73,7 @@
     private readonly deps: DriverDependencies,
     private readonly control: SessionControl,
     private readonly runOrders: RunOrders,
-    private readonly discards: UnconfirmedDiscards,
+    private readonly discards: EndDiscards,
   ) {}
 
   /**
@@ -112,7 +105,7 @@
    * in ms.
    */
   async #sendHold(session: EndpointSession): Promise<number> {
-    const { lease, clock } = this.deps;
+    const { orders, lease, clock } = this.deps;
     const sentAt = clock.now();
     // The lease of an endpoint that does not answer is not extended: otherwise
     // each hold would delay the time after which nothing can run there.
@@ -121,12 +114,15 @@
       ? session.lease.nextLeaseUntil(sentAt)
       : undefined;
     const isDiscard = session.mayDiscard;
-    const outcome = await this.#sendAndSettle(session, {
+    const order = {
       term: lease.term,
       recordedSeq: isDiscard ? session.recordedEndSeq : 0,
       ...(leaseUntil !== undefined && { leaseUntil }),
       waitMs: extendsLease && !isDiscard ? this.#holdWaitMs(session) : 0,
-    });
+    };
+    const outcome = isDiscard
+      ? await this.discards.send(session, order)
+      : await orders.hold(session.endpoint, order);
     if (this.control.isStopped || session.closed) return 0;
     if (outcome.kind === "lists") {
       return await this.#handleLists(session, outcome.lists, sentAt);
@@ -134,54 +130,6 @@
     return this.#handleHoldFailure(session, outcome);
   }
 
-  /**
-   * Sends a hold. If it lets the endpoint discard ends, no start is sent until it
-   * has an outcome, and it counts as unconfirmed unless the session's incarnation
-   * answers it, or it was rejected.
-   */
-  async #sendAndSettle(
-    session: EndpointSession,
-    order: HoldOrder,
-  ): Promise<HoldOutcome> {
-    const { orders, clock } = this.deps;
-    const { endpoint, discardGate } = session;
-    const { recordedSeq } = order;
-    if (recordedSeq === 0) return await orders.hold(endpoint, order);
-    discardGate.beginDiscard();
-    const cancel = clock.after(slowDiscardMs, () => {
-      discardGate.markSlow();
-      this.discards.markSlow(endpoint);
-      this.#storeDiscard(endpoint);
-    });
-    const outcome = await orders.hold(endpoint, order);
-    cancel();
-    this.#settleDiscard(session, recordedSeq, outcome);
-    discardGate.endDiscard();
-    return outcome;
-  }
-
-  /** Notes what has become of the ends up to `recordedSeq`. */
-  #settleDiscard(
-    session: EndpointSession,
-    recordedSeq: number,
-    outcome: HoldOutcome,
-  ): void {
-    const { endpoint } = session;
-    if (outcome.kind === "rejected") return this.discards.confirm(endpoint);
-    if (outcome.kind === "lists" && outcome.lists.life === endpoint.life) {
-      session.discardedEndSeq = recordedSeq;
-      return this.discards.confirm(endpoint);
-    }
-    // A start that waits for the outcome must not be sent any more.
-    session.recordNoAnswer(this.deps.clock.now());
-    this.discards.add(endpoint, this.deps.clock.now());
-    this.#storeDiscard(endpoint);
-    if (outcome.kind !== "lists") return;
-    const { life } = outcome.lists;
-    this.discards.noteForeignDiscard({ id: endpoint.id, life });
-    this.#logOtherLife(session, life, recordedSeq);
-  }
-
   /**
    * How long the endpoint may wait before it answers, in ms. The first hold of
    * a term asks for an answer at once, so that the running tasks are soon known
@@ -234,28 +182,6 @@
     }
   }
 
-  /** Has an unconfirmed discard stored, unless it has been. */
-  #storeDiscard(endpoint: TaskEndpoint): void {
-    if (!this.discards.isStored(endpoint)) this.deps.onDiscardUnconfirmed();
-  }
-
-  /** Logs that another incarnation has discarded the ends of the session's. */
-  #logOtherLife(
-    { endpoint: { id, life } }: EndpointSession,
-    answeredLife: number,
-    recordedSeq: number,
-  ): void {
-    const { log, shard, lease } = this.deps;
-    log.decision("ends-discarded-by-other-life", {
-      shard,
-      term: lease.term,
-      endpoint: id,
-      life,
-      answeredLife,
-      recordedSeq,
-    });
-  }
-
   /**
    * Processes the answer of a hold; returns the pause until the next, in ms.
    */
@@ -271,7 +197,7 @@
     }
     session.lease.recordClock(lists.clockMs, now);
     session.recordAnswer(sentAt, now);
-    this.discards.noteAnswer(session.endpoint, now);
+    this.discards.unconfirmed.noteAnswer(session.endpoint, now);
     this.#reconcile(session, lists, sentAt, now);
     this.runOrders.adjustFillerPace(session);
     if (!session.fenced) {
@@ -334,7 +260,7 @@
       "not listed",
       logFields,
     );
-    this.discards.noteForeignDiscard(endpoint);
+    this.discards.unconfirmed.noteForeignDiscard(endpoint);
     this.control.setAside(session, "an end is missing");
   }
 
--- a/src/sessions/index.ts
+++ b/src/sessions/index.ts
@@ -11,6 +11,7 @@
   setPhase,
 } from "./driver_dependencies.ts";
 export { DiscardGate } from "./discard_gate.ts";
+export { EndDiscards } from "./end_discards.ts";
 export { EndedIncarnations } from "./ended_incarnations.ts";
 export { EndpointDriver } from "./endpoint_driver.ts";
 export { holdWaitMs } from "./endpoint_holds.ts";
@@ -21,13 +22,7 @@
   noLease,
   runEndsBy,
 } from "./endpoint_lease.ts";
-export {
-  cpuForJobs,
-  EndpointSession,
-  freeCpu,
-  type Run,
-  type RunPhase,
-} from "./endpoint_session.ts";
+export { cpuForJobs, EndpointSession, freeCpu } from "./endpoint_session.ts";
 export { acceptsTasks, failureRatio, withFailure } from "./failure_history.ts";
 export { toPoolEndpoint, toPoolEndpoints } from "./pool_endpoint.ts";
 export { type PoolUsage, usageOf, usedShare } from "./pool_usage.ts";
@@ -35,3 +30,4 @@
   noUnconfirmedDiscards,
   UnconfirmedDiscards,
 } from "./unconfirmed_discards.ts";
+export type { Run, RunPhase } from "./run.ts";
