Log how old the fleet's lease is when an order about a host leaves

The log could not tell three causes apart: an order that left in time and arrived late, a successor that begins before its delay is over, and a holder that sends although its successor has begun. Orders about hosts now carry `leaseAgeMs` and `tookMs`.

--- a/src/upkeep/host_orders.ts
+++ b/src/upkeep/host_orders.ts
@@ -54,6 +54,15 @@
   readonly mayAct: () => boolean;
 }
 
+/** An order that was sent. */
+interface SentOrder {
+  readonly outcome: HostOrderOutcome;
+  /** Age of the lease when it was sent, in ms. */
+  readonly leaseAgeMs: number;
+  /** Time until its outcome was known, in ms. */
+  readonly tookMs: number;
+}
+
 /** Orders about hosts in one term of the fleet's lease. */
 export class HostOrders {
   /** Monotonic time of the first order, in ms. */
@@ -73,11 +82,11 @@
     { host }: ProviderHost,
     wave: string,
   ): Promise<HostOrderOutcome | undefined> {
-    const outcome = await this.#send((sender) =>
+    const order = await this.#send((sender) =>
       this.deps.control.maintain(host, wave, sender)
     );
-    this.#log("host-maintenance", host, outcome, { wave });
-    return outcome;
+    this.#log("host-maintenance", host, order, { wave });
+    return order?.outcome;
   }
 
   /**
@@ -88,12 +97,12 @@
     { host, from, to }: HostMove,
     maySend: () => boolean,
   ): Promise<HostOrderOutcome | undefined> {
-    const outcome = await this.#send(
+    const order = await this.#send(
       (sender) => this.deps.control.move(host, to, sender),
       maySend,
     );
-    this.#log("host-move", host, outcome, { from, to });
-    return outcome;
+    this.#log("host-move", host, order, { from, to });
+    return order?.outcome;
   }
 
   /**
@@ -103,15 +112,19 @@
   async #send(
     send: (sender: OrderSender) => Promise<HostOrderOutcome>,
     maySend: () => boolean = () => true,
-  ): Promise<HostOrderOutcome | undefined> {
+  ): Promise<SentOrder | undefined> {
     const { clock, lease, entry, mayAct } = this.deps;
     if (!mayAct() || clock.now() < this.#firstOrderAt) return undefined;
     if (!await this.#ensureFreshLease()) return undefined;
     // The lease may have been released or lost during the renewal, or the
     // process suspended.
     if (!mayAct() || !maySend()) return undefined;
-    if (lease.ageMs > maxLeaseAgeAtOrderMs) return undefined;
-    return await send({ entry, term: lease.term });
+    const leaseAgeMs = lease.ageMs;
+    if (leaseAgeMs > maxLeaseAgeAtOrderMs) return undefined;
+    const sentAt = clock.now();
+    const outcome = await send({ entry, term: lease.term });
+    const tookMs = clock.now() - sentAt;
+    return { outcome, leaseAgeMs, tookMs };
   }
 
   /**
@@ -132,15 +145,24 @@
   #log(
     event: string,
     host: string,
-    outcome: HostOrderOutcome | undefined,
+    order: SentOrder | undefined,
     fields: Readonly<Record<string, string>>,
   ): void {
-    if (outcome === undefined) return;
+    if (order === undefined) return;
     const { log, lease } = this.deps;
+    const { outcome } = order;
     const { kind } = outcome;
     const reason = kind === "rejected" ? outcome.reason : undefined;
     const message = kind === "unknown" ? outcome.message : reason;
     const { term } = lease;
-    log.decision(event, { ...fields, host, term, outcome: kind, message });
+    log.decision(event, {
+      ...fields,
+      host,
+      term,
+      outcome: kind,
+      message,
+      leaseAgeMs: Math.round(order.leaseAgeMs),
+      tookMs: Math.round(order.tookMs),
+    });
   }
 }
