--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -18,6 +18,7 @@
   type OwnerRow,
   ownerTable,
   type PreviousOwner,
+  type PreviousOwnerState,
   type ProcessIdentity,
   readOwner,
   ShardLease,
--- a/src/cluster/shard_lease.ts
+++ b/src/cluster/shard_lease.ts
@@ -40,15 +40,27 @@
  */
 export const silentOwnerEffectMs = 10_000;
 
-const previousOwners = ["ended", "silent"] as const;
+const previousOwnerStates = ["ended", "silent"] as const;
 
 /**
- * What is known about the previous owners at a takeover. `ended`: the last one
- * released the shard, or its process has ended, and so had those whose leases
- * may still last. `silent`: one of them stopped renewing, but may still run
- * without access to the store.
+ * State of the previous owners at a takeover. `ended`: the last one released the
+ * shard, or its process has ended, and so had those whose leases may still last.
+ * `silent`: one of them stopped renewing, but may still run without access to
+ * the store.
  */
-export type PreviousOwner = typeof previousOwners[number];
+export type PreviousOwnerState = typeof previousOwnerStates[number];
+
+/** What is known about the previous owners at a takeover. */
+export type PreviousOwner =
+  | { readonly state: "ended" }
+  | {
+    readonly state: "silent";
+    /**
+     * Monotonic time, in ms, by which the last commit of each of them had taken
+     * effect. What they do on the strength of it counts from there.
+     */
+    readonly committedBy: number;
+  };
 
 const ownerSchema = v.object({
   /** Process start of the holder; empty after a release. */
@@ -60,7 +72,7 @@
   /** Number of commits in this term. */
   commits: v.number(),
   /** What is known about the owners before, whose leases may still last. */
-  previous: v.optional(v.picklist(previousOwners), "ended"),
+  previous: v.optional(v.picklist(previousOwnerStates), "ended"),
 });
 
 /** Decoded value of an owner row. */
@@ -149,7 +161,7 @@
     shard: string,
     holder: ProcessIdentity,
     found: OwnerRow,
-    previous: PreviousOwner,
+    previous: PreviousOwnerState,
   ): Promise<ShardLease | undefined> {
     const term = (found.owner?.term ?? 0) + 1;
     const owner = { ...holder, term, commits: 0, previous };
--- a/src/intake/waiting_jobs.ts
+++ b/src/intake/waiting_jobs.ts
@@ -42,7 +42,7 @@
 
   /** Adds the store's version in the answer to a call sent at `sentAt` (ms). */
   addStoreVersion(version: number, sentAt: number): void {
-    this.#versions.add(version, sentAt);
+    this.#versions.add(version, sentAt, this.clock.now());
   }
 
   /**
@@ -64,7 +64,7 @@
     const { owner: holder, version } = owner.val;
     const isAlive = holder !== undefined && holder.boot !== "" &&
       this.#versions.isNewerThan(version, startedAt - maxCommitAgeMs);
-    this.#versions.add(published.val.version, startedAt);
+    this.addStoreVersion(published.val.version, startedAt);
     if (isAlive && counts?.term === holder.term) {
       return Ok(counts.queues[queue] ?? 0);
     }
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -7,6 +7,7 @@
  * only checks every few seconds whether it is needed, which keeps its store
  * cost low.
  */
+import type { Result } from "ts-results";
 import {
   type ClusterMember,
   memberSchema,
@@ -18,9 +19,11 @@
   parseJson,
   partitionOf,
   partitionsOf,
+  type StoreFailure,
   type StoreRow,
   type StoreRowKey,
   TableWatch,
+  VersionHistory,
 } from "../store/index.ts";
 import type { EntryDependencies } from "./entry_dependencies.ts";
 
@@ -54,6 +57,8 @@
 export class Membership {
   readonly #watch: TableWatch;
   readonly #rows = new Map<string, StoreRow>();
+  /** Versions of the store in the answers to the reads of the members. */
+  readonly #versions = new VersionHistory();
   readonly #startedAt: number;
   #view = MemberView.empty;
   #isActive = true;
@@ -97,7 +102,7 @@
     const { periodMs } = this;
     const [, read] = await Promise.all([
       this.#isActive ? this.heartbeat() : undefined,
-      this.#watch.poll(0),
+      this.#poll(),
     ]);
     if (read.err) return false;
     onStoreAnswer();
@@ -107,6 +112,26 @@
     return true;
   }
 
+  /** Reads the changes of the members' rows. */
+  async #poll(): Promise<Result<void, StoreFailure>> {
+    const { clock } = this.deps;
+    const sentAt = clock.now();
+    const polled = await this.#watch.poll(0);
+    const { version } = this.#watch;
+    if (polled.ok && version !== undefined) {
+      this.#versions.add(version, sentAt, clock.now());
+    }
+    return polled;
+  }
+
+  /**
+   * Returns the earliest monotonic time, in ms, by which a row of this version is
+   * known to have been written. A row that no answer tells of exists by now.
+   */
+  writtenBy(version: number): number {
+    return this.#versions.writtenBy(version) ?? this.deps.clock.now();
+  }
+
   /** The live members, including this entry if it is active. */
   live(): readonly ClusterMember[] {
     const others = this.#liveOthers();
--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -10,6 +10,7 @@
   fleetShard,
   memberLeaseMs,
   type OwnerRecord,
+  type OwnerRow,
   poolOfShard,
   type PreviousOwner,
   readOwner,
@@ -205,14 +206,14 @@
       const isHeld = owner !== undefined && owner.boot !== self.boot &&
         boots.has(owner.boot);
       if (isHeld && !this.#isOwnerSilent(shard, version)) return;
-      const previous = this.#previousOwner(owner);
+      const previous = this.#previousOwner(read.val);
       const lease = await ShardLease.acquire(
         store,
         clock,
         shard,
         { entry: self.entry, boot: self.boot },
         read.val,
-        previous,
+        previous.state,
       );
       if (lease === undefined) return;
       if (this.#stopping) {
@@ -223,8 +224,9 @@
         shard,
         term: lease.term,
         from: owner?.entry,
-        previous,
+        previous: previous.state,
         version,
+        committedMs: this.#sinceCommit(previous),
       });
       await this.#runOwner(shard, lease, previous);
     } finally {
@@ -248,12 +250,25 @@
    * whose leases may still last. The last one may have taken over from a silent
    * one a short time ago, also if it was this process.
    */
-  #previousOwner(owner: OwnerRecord | undefined): PreviousOwner {
-    if (owner === undefined) return "ended";
-    if (owner.previous === "silent") return "silent";
-    if (owner.boot === "") return "ended";
-    const hasEnded = this.#membership.hasProcessEnded(owner.entry, owner.boot);
-    return hasEnded ? "ended" : "silent";
+  #previousOwner({ owner, version }: OwnerRow): PreviousOwner {
+    if (owner === undefined || this.#haveOwnersEnded(owner)) {
+      return { state: "ended" };
+    }
+    // Earlier owners made their last commits before this one.
+    const committedBy = this.#membership.writtenBy(version);
+    return { state: "silent", committedBy };
+  }
+
+  /** Whether the holder and those before it that still matter have ended. */
+  #haveOwnersEnded({ entry, boot, previous }: OwnerRecord): boolean {
+    if (previous === "silent") return false;
+    return boot === "" || this.#membership.hasProcessEnded(entry, boot);
+  }
+
+  /** Least time since the last commit of a silent owner, in ms, for the log. */
+  #sinceCommit(previous: PreviousOwner): number | undefined {
+    if (previous.state === "ended") return undefined;
+    return Math.round(this.deps.clock.now() - previous.committedBy);
   }
 
   /** Starts the owner of an acquired shard; releases it if that fails. */
--- a/src/sessions/driver_dependencies.ts
+++ b/src/sessions/driver_dependencies.ts
@@ -7,6 +7,7 @@
 import {
   memberLeaseMs,
   type PreviousOwner,
+  type PreviousOwnerState,
   type ShardLease,
 } from "../cluster/index.ts";
 import type {
@@ -36,7 +37,7 @@
  * was {@link maxCommitAgeForHoldMs} old. A takeover happens at least
  * `memberLeaseMs` after that commit.
  */
-export function maxInheritedLeaseMs(previous: PreviousOwner): number {
+export function maxInheritedLeaseMs(previous: PreviousOwnerState): number {
   const lease = taskLeaseMs * (1 + maxClockDrift) + answerDeliveryMs;
   return lease + silentOwnerMs(previous);
 }
@@ -45,12 +46,12 @@
  * The same for a lease that an incarnation may have granted which the order was
  * not meant for.
  */
-export function longestInheritedLeaseMs(previous: PreviousOwner): number {
+export function longestInheritedLeaseMs(previous: PreviousOwnerState): number {
   return maxUnsettledOrderMs + silentOwnerMs(previous);
 }
 
 /** Time after a takeover for which the earlier owner may send orders, in ms. */
-function silentOwnerMs(previous: PreviousOwner): number {
+function silentOwnerMs(previous: PreviousOwnerState): number {
   return previous === "ended" ? 0 : maxCommitAgeForHoldMs - memberLeaseMs;
 }
 
--- a/src/sessions/inherited_leases.ts
+++ b/src/sessions/inherited_leases.ts
@@ -40,8 +40,8 @@
   ) {
     const { clock, previous } = deps;
     this.bound = {
-      endsBy: clock.now() + maxInheritedLeaseMs(previous),
-      longestEndsBy: clock.now() + longestInheritedLeaseMs(previous),
+      endsBy: clock.now() + maxInheritedLeaseMs(previous.state),
+      longestEndsBy: clock.now() + longestInheritedLeaseMs(previous.state),
     };
     this.#takenOverAt = clock.wall();
   }
--- a/src/store/version_history.ts
+++ b/src/store/version_history.ts
@@ -1,16 +1,18 @@
 /**
- * Remembers which version the store had when, so that the age of a row can be
- * told from its version: rows carry no times.
+ * Remembers which version the store had when, so that bounds on the age of a row
+ * can be told from its version: rows carry no times.
  */
 
 /** Number of readings that are kept. */
 const maxReadings = 32;
 
-/** A version that the store had reached at a moment. */
+/** A version that the store had reached at a moment between two times. */
 interface VersionReading {
   readonly version: number;
   /** Monotonic time before that moment, in ms. */
-  readonly at: number;
+  readonly sentAt: number;
+  /** Monotonic time after that moment, in ms. */
+  readonly receivedAt: number;
 }
 
 /** Recent versions of the store. */
@@ -19,13 +21,13 @@
   readonly #readings: VersionReading[] = [];
 
   /**
-   * Adds the newest version in the answer to a call that was sent at the
-   * monotonic time `sentAt`, in ms.
+   * Adds the newest version in the answer to a call that was sent and answered
+   * at the monotonic times `sentAt` and `receivedAt`, in ms.
    */
-  add(version: number, sentAt: number): void {
+  add(version: number, sentAt: number, receivedAt: number): void {
     const newest = this.#readings.at(-1);
-    if (newest !== undefined && sentAt < newest.at) return;
-    this.#readings.push({ version, at: sentAt });
+    if (newest !== undefined && sentAt < newest.sentAt) return;
+    this.#readings.push({ version, sentAt, receivedAt });
     if (this.#readings.length > maxReadings) this.#readings.shift();
   }
 
@@ -34,7 +36,17 @@
    * monotonic time `time`, in ms.
    */
   isNewerThan(version: number, time: number): boolean {
-    const reading = this.#readings.find(({ at }) => at >= time);
+    const reading = this.#readings.find(({ sentAt }) => sentAt >= time);
     return reading !== undefined && version > reading.version;
   }
+
+  /**
+   * Returns the earliest monotonic time, in ms, by which a row of this version is
+   * known to have been written; undefined if no answer tells.
+   */
+  writtenBy(version: number): number | undefined {
+    const later = this.#readings.filter((each) => each.version >= version);
+    if (later.length === 0) return undefined;
+    return Math.min(...later.map(({ receivedAt }) => receivedAt));
+  }
 }
--- a/src/upkeep/host_orders.ts
+++ b/src/upkeep/host_orders.ts
@@ -30,15 +30,25 @@
  */
 const maxLeaseAgeAtOrderMs = memberLeaseMs - orderDeliveryMs;
 
+/** Time in which orders that are in flight arrive, in ms. */
+const orderSettleMs = 300;
+
 /**
- * Delay of the first order after a takeover, in ms, which lets orders of the
- * previous owner that are in flight arrive. A silent owner has not committed
- * for a full member lease, so it sends no new ones.
+ * Least delay of the first order after a takeover from a silent owner, in ms: its
+ * network may be disturbed, so that its orders take longer to arrive.
  */
-const takeoverDelayMs: Readonly<Record<PreviousOwner, number>> = {
-  ended: 300,
-  silent: 600,
-};
+const silentTakeoverDelayMs = 600;
+
+/**
+ * Returns the monotonic time, in ms, from which no order of a previous owner
+ * arrives any more after a takeover at `now`. One that is silent may not know
+ * that it has lost the fleet, and sends orders until its last commit is too old.
+ */
+function previousOrdersEndBy(previous: PreviousOwner, now: number): number {
+  if (previous.state === "ended") return now + orderSettleMs;
+  const lastOrderBy = previous.committedBy + maxLeaseAgeAtOrderMs;
+  return Math.max(now + silentTakeoverDelayMs, lastOrderBy + orderSettleMs);
+}
 
 /** Dependencies of {@link HostOrders}. */
 export interface HostOrdersDependencies {
@@ -71,7 +81,7 @@
   #renewal: Promise<boolean> | undefined;
 
   constructor(private readonly deps: HostOrdersDependencies) {
-    this.#firstOrderAt = deps.clock.now() + takeoverDelayMs[deps.previous];
+    this.#firstOrderAt = previousOrdersEndBy(deps.previous, deps.clock.now());
   }
 
   /**
--- a/test/scheduler/occupied_pool.ts
+++ b/test/scheduler/occupied_pool.ts
@@ -204,7 +204,7 @@
   const owner = new ShardOwner({
     shard,
     lease: await acquired,
-    previous: "ended",
+    previous: { state: "ended" },
     store,
     orders: endpoints.orders,
     catalog: { current: undefined },
--- a/test/scheduler/shard_owner_test.ts
+++ b/test/scheduler/shard_owner_test.ts
@@ -76,7 +76,7 @@
   const owner = new ShardOwner({
     shard,
     lease,
-    previous: "ended",
+    previous: { state: "ended" },
     store: wrapStore(store),
     orders: { ...noOrders, ...orders },
     catalog: { current: undefined },
--- a/test/upkeep/fleet_owner_test.ts
+++ b/test/upkeep/fleet_owner_test.ts
@@ -85,7 +85,7 @@
     registry: new EndpointRegistry(),
     clock,
     log: { decision: () => {} },
-    previous: "ended",
+    previous: { state: "ended" },
   });
   const demand = { want: standbyHosts, offered: [], silent: [] };
   const put = { ...poolDemandKey("quotes"), value: JSON.stringify(demand) };
--- a/test/upkeep/wave_orders_test.ts
+++ b/test/upkeep/wave_orders_test.ts
@@ -77,7 +77,7 @@
     registry: new EndpointRegistry(),
     clock,
     log: { decision: () => {} },
-    previous: "ended",
+    previous: { state: "ended" },
   });
   /** Runs iterations for `ms`. */
   const run = async (ms: number) => {
