Model a store that is down in part; count rejected host orders for ONE

Actions take the partitions of a spread table, or a drawn share of all partitions, down for some time.

The oracle looked at the fence numbers of orders that were carried out only. The rule ONE knows no such exception: an order about a host that is busy counts now.

--- a/sim/actions.ts
+++ b/sim/actions.ts
@@ -7,6 +7,8 @@
 import type { ForeignRowKind } from "./model_registrations.ts";
 import { poolNames } from "./pools.ts";
 import type { BatchSimulation } from "./batch_simulation.ts";
+import { partitionsOf } from "../src/store/index.ts";
+import { fnv1a32, mulberry32 } from "./random.ts";
 import { cpuLimit, type WorkspaceName, workspaceNames } from "./workspaces.ts";
 
 /**
@@ -45,6 +47,22 @@
     readonly behavior: "refuses" | "silent";
     readonly ms: number;
   }
+  /**
+   * Makes the store refuse the calls to a share of its partitions; `draw`
+   * decides to which.
+   */
+  | {
+    readonly kind: "store-part";
+    readonly share: number;
+    readonly draw: number;
+    readonly ms: number;
+  }
+  /** Makes the store refuse the calls to the partitions of a spread table. */
+  | {
+    readonly kind: "store-table";
+    readonly table: string;
+    readonly ms: number;
+  }
   /** Loses the answers of a share of the store's commits. */
   | { readonly kind: "lose"; readonly share: number; readonly ms: number }
   /** Multiplies the store's delays by `factor`. */
@@ -125,6 +143,11 @@
   return workspaceNames[index % workspaceNames.length];
 }
 
+/** Whether a partition belongs to the share that a number draws. */
+function isDrawn(draw: number, partition: string, share: number): boolean {
+  return mulberry32(fnv1a32(`${draw} ${partition}`))() < share;
+}
+
 /** Performs actions, one after another, on a simulation. */
 export class ActionRunner {
   #jobCount = 0;
@@ -173,6 +196,17 @@
       case "store":
         this.#disturbStore(action.entry, action.behavior, action.ms);
         break;
+      case "store-part":
+        this.#takePartitionsDown(
+          (partition) => isDrawn(action.draw, partition, action.share),
+          action.ms,
+        );
+        break;
+      case "store-table": {
+        const partitions = new Set(partitionsOf(action.table));
+        this.#takePartitionsDown((name) => partitions.has(name), action.ms);
+        break;
+      }
       case "lose":
         sim.store.lostAnswerShare = action.share;
         clock.after(action.ms, () => sim.store.lostAnswerShare = 0);
@@ -302,6 +336,12 @@
     });
   }
 
+  #takePartitionsDown(isDown: (name: string) => boolean, ms: number): void {
+    const { sim } = this;
+    sim.store.setPartitionsDown(isDown);
+    sim.clock.after(ms, () => sim.store.setPartitionsDown(undefined));
+  }
+
   #delayOrders(share: number, ms: number): void {
     const { sim } = this;
     const setLateShare = (value: number) => {
--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -420,6 +420,7 @@
   endDisturbances(): void {
     this.store.lostAnswerShare = 0;
     this.store.delayFactor = 1;
+    this.store.setPartitionsDown(undefined);
     this.lateShare = 0;
     this.maxOrderDelayMs = 0;
     this.isProviderAway = false;
--- a/sim/model_hosts.ts
+++ b/sim/model_hosts.ts
@@ -208,14 +208,13 @@
     pool: string | undefined,
     downMs: number,
   ): HostOrderOutcome {
+    this.environment.oracle.hostOrderReceived(name, sender.term);
     const host = this.list.find((h) => h.host === name);
     if (host === undefined || host.state !== "up") {
       return { kind: "rejected", reason: "busy" };
     }
     const { endpoint } = host;
     this.environment.oracle.hostOrderCarriedOut(
-      name,
-      sender.term,
       endpoint?.availableTasks ?? [],
     );
     const state = pool === undefined ? "upkeep" : "moving";
--- a/sim/model_store.ts
+++ b/sim/model_store.ts
@@ -1,6 +1,6 @@
 /**
  * In-memory model of the row store. It is linearizable and simulates delays,
- * outages for some or all processes, commits whose answer is lost or that take
+ * outages for some or all processes or of some partitions, commits whose answer is lost or that take
  * effect late, and dropped change history.
  */
 import { Buffer } from "node:buffer";
@@ -90,6 +90,9 @@
   );
 }
 
+/** Failure of a call that the store turns away for now. */
+const unavailable: StoreFailure = { kind: "refused", message: "status 503" };
+
 /** A change in the history. */
 interface StoredChange {
   readonly version: number;
@@ -114,6 +117,8 @@
   /** Factor by which all delays are multiplied. */
   delayFactor = 1;
 
+  /** Whether the calls to a partition are refused; unset if none are. */
+  #isPartitionDown: ((partition: string) => boolean) | undefined;
   /** Number of rows put, by table. */
   readonly #putCounts = new Map<string, number>();
 
@@ -136,7 +141,15 @@
   get isUndisturbed(): boolean {
     const serves = [...this.#behaviors.values()]
       .every((each) => each === "serves");
-    return serves && this.delayFactor === 1 && this.lostAnswerShare === 0;
+    return serves && this.#isPartitionDown === undefined &&
+      this.delayFactor === 1 && this.lostAnswerShare === 0;
+  }
+
+  /** Makes partitions unavailable; undefined makes all of them available. */
+  setPartitionsDown(
+    isDown: ((partition: string) => boolean) | undefined,
+  ): void {
+    this.#isPartitionDown = isDown;
   }
 
   /** Drops the change history; feeds from older versions fail as expired. */
@@ -258,7 +271,7 @@
     await this.#wait(oneWayDelayMs * this.delayFactor);
     const behavior = this.#behaviors.get(entry) ?? "serves";
     if (behavior === "refuses") {
-      return Err({ kind: "refused", message: "status 503" });
+      return Err(unavailable);
     }
     if (behavior === "rejects") {
       return Err({ kind: "invalid", message: "status 403" });
@@ -283,6 +296,10 @@
     const message = rejectionOf(tx);
     if (message !== undefined) return Err({ kind: "invalid", message });
     await this.#wait(commitDurationMs * this.delayFactor);
+    const entries = [...tx.checks, ...tx.puts, ...tx.removes];
+    if (entries.some(({ partition }) => this.#isPartitionDown?.(partition))) {
+      return Err(unavailable);
+    }
     if (this.random() < this.lostAnswerShare) {
       const lateDelayMs = this.random() < 0.5
         ? this.random() * maxLateDelayMs
@@ -334,6 +351,9 @@
     query: RangeQuery,
     maxRows: number,
   ): Promise<Result<RowPage, StoreFailure>> {
+    if (this.#isPartitionDown?.(query.partition)) {
+      return Promise.resolve(Err(unavailable));
+    }
     const rows = [...this.#rows.values()]
       .filter((row) =>
         row.table === query.table && row.partition === query.partition &&
--- a/sim/oracle.ts
+++ b/sim/oracle.ts
@@ -218,16 +218,8 @@
     if (record !== undefined) record.isEndRecorded = true;
   }
 
-  /**
-   * Records that the provider carried out an order that took a host down;
-   * `endedTasks` are the available tasks that ended with it.
-   */
-  hostOrderCarriedOut(
-    host: string,
-    term: number,
-    endedTasks: readonly string[],
-  ): void {
-    this.counts.hostOrders++;
+  /** Records that the provider received an order about a host. */
+  hostOrderReceived(host: string, term: number): void {
     const highestTerm = this.#hostTerms.get(host) ?? 0;
     if (term < highestTerm) {
       this.report(
@@ -236,6 +228,14 @@
       );
     }
     this.#hostTerms.set(host, Math.max(highestTerm, term));
+  }
+
+  /**
+   * Records that the provider carried out an order that took a host down;
+   * `endedTasks` are the available tasks that ended with it.
+   */
+  hostOrderCarriedOut(endedTasks: readonly string[]): void {
+    this.counts.hostOrders++;
     for (const task of endedTasks) {
       this.#checkHostOrder(task);
       const record = this.#runs.get(task)?.at(-1);
