Leave a shard with an owner that commits, though its heartbeats don't arrive

Cause: only heartbeats told that an owner is alive. They are in other partitions than the owner rows, and a store that is down in part refuses the ones and not the others.

Fix: an owner without heartbeats is left its shard while its last commit is under 0.9 s old, by the versions in the store's answers. An owner whose heartbeats are late, beyond what the store takes for them, commits every 0.45 s (otherwise each 1 s and 1.5 s if nothing changes).

--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -6,10 +6,12 @@
 } from "./assignment.ts";
 export { selectCandidates } from "./candidates.ts";
 export {
+  aliveCommitAgeMs,
   type ClusterMember,
   memberLeaseMs,
   memberSchema,
   MemberView,
+  signOfLifeIntervalMs,
 } from "./members.ts";
 export {
   type CommitFailure,
--- a/src/cluster/members.ts
+++ b/src/cluster/members.ts
@@ -14,6 +14,20 @@
  */
 export const memberLeaseMs = 1_350;
 
+/**
+ * Age of an owner's last commit, in ms, up to which the commit shows that the owner
+ * is alive although its heartbeats don't: the partition that holds them may be
+ * unavailable. An owner that ends makes its last commit less than a heartbeat
+ * interval after its last heartbeat, so that its lease outlasts this age.
+ */
+export const aliveCommitAgeMs = 900;
+
+/**
+ * Interval, in ms, at which an owner whose heartbeats fail commits, so that its
+ * commits stay below {@link aliveCommitAgeMs}.
+ */
+export const signOfLifeIntervalMs = 450;
+
 /**
  * Delay of a member's own heartbeats that its lease covers, in ms: the interval
  * between two.
--- a/src/scheduler/shard_dependencies.ts
+++ b/src/scheduler/shard_dependencies.ts
@@ -18,6 +18,8 @@
   readonly lease: ShardLease;
   /** What is known about the previous owner of the shard. */
   readonly previous: PreviousOwner;
+  /** Whether the entry's heartbeats fail, so that commits must show its life. */
+  readonly areHeartbeatsLate: () => boolean;
   readonly store: Store;
   readonly orders: TaskOrders;
   readonly advisor: Advisor;
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -16,7 +16,7 @@
   readySteps,
   type Resources,
 } from "../batch/index.ts";
-import type { CommitFailure } from "../cluster/index.ts";
+import { type CommitFailure, signOfLifeIntervalMs } from "../cluster/index.ts";
 import type { StoreRowKey } from "../store/index.ts";
 import { DemandReporter } from "../capacity/index.ts";
 import { AdvisedSteps, PassTimer, Placer } from "../placement/index.ts";
@@ -358,7 +358,11 @@
 
   /** Renews the lease if nothing has been committed for long. */
   #renewLease(): void {
-    if (this.deps.lease.ageMs > maxCommitIntervalMs) this.commits.flush();
+    const { lease, areHeartbeatsLate } = this.deps;
+    const maxAgeMs = areHeartbeatsLate()
+      ? signOfLifeIntervalMs
+      : maxCommitIntervalMs;
+    if (lease.ageMs > maxAgeMs) this.commits.flush();
   }
 
   #activeJobs(): readonly TrackedJob[] {
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -36,6 +36,12 @@
 /** Time after the start for which every entry stays active, in ms. */
 const startupSettleMs = 800;
 
+/**
+ * Age of the last confirmed heartbeat from which further ones are late, in ms, if
+ * the store adds no delay.
+ */
+const lateHeartbeatMs = 2 * heartbeatMs;
+
 /** Time without a heartbeat after which a member's row is removed, in ms. */
 const removeSilentAfterMs = 30_000;
 
@@ -63,6 +69,8 @@
   #view = MemberView.empty;
   #isActive = true;
   #hasStoppedAccepting = false;
+  /** The last confirmed heartbeat: its monotonic time and duration, in ms. */
+  #confirmed: { readonly sentAt: number; readonly delayMs: number };
   /** Duration of the last completed heartbeat, in ms. */
   #heartbeatDelayMs = 0;
   /** Monotonic time at which a heartbeat still in flight was sent. */
@@ -70,6 +78,7 @@
 
   constructor(private readonly deps: MembershipDependencies) {
     this.#startedAt = deps.clock.now();
+    this.#confirmed = { sentAt: this.#startedAt, delayMs: 0 };
     this.#watch = new TableWatch(
       deps.store,
       membersTable,
@@ -146,6 +155,15 @@
     return member !== undefined && member.boot !== boot;
   }
 
+  /**
+   * Whether the heartbeats of this entry have not been confirmed for some time. A
+   * slow store alone does not make them late.
+   */
+  get areHeartbeatsLate(): boolean {
+    const { sentAt, delayMs } = this.#confirmed;
+    return this.deps.clock.now() - sentAt > lateHeartbeatMs + delayMs;
+  }
+
   /** Makes further heartbeats say that this entry accepts no more shards. */
   stopAccepting(): void {
     this.#hasStoppedAccepting = true;
@@ -164,8 +182,12 @@
     });
     this.#pendingSince = undefined;
     this.#heartbeatDelayMs = clock.now() - sentAt;
-    if (outcome.ok) onStoreAnswer();
-    else log.decision("heartbeat-failed", { message: outcome.val.message });
+    if (outcome.ok) {
+      this.#confirmed = { sentAt, delayMs: this.#heartbeatDelayMs };
+      onStoreAnswer();
+    } else {
+      log.decision("heartbeat-failed", { message: outcome.val.message });
+    }
   }
 
   #rowKey(entry: string): StoreRowKey {
--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -4,6 +4,7 @@
  */
 import type { Catalog } from "../catalog/index.ts";
 import {
+  aliveCommitAgeMs,
   assignShards,
   type ClusterMember,
   compareByPreference,
@@ -207,6 +208,7 @@
         boots.has(owner.boot);
       if (isHeld && !this.#isOwnerSilent(shard, version)) return;
       const previous = this.#previousOwner(read.val);
+      if (!isHeld && this.#isHolderAlive(owner, previous)) return;
       const lease = await ShardLease.acquire(
         store,
         clock,
@@ -265,6 +267,20 @@
     return boot === "" || this.#membership.hasProcessEnded(entry, boot);
   }
 
+  /**
+   * Whether the holder of a shard, which sends no heartbeats, has committed a
+   * short time ago: the partition that holds them may be unavailable.
+   */
+  #isHolderAlive(
+    holder: OwnerRecord | undefined,
+    previous: PreviousOwner,
+  ): boolean {
+    const { self, clock } = this.deps;
+    if (holder === undefined || previous.state === "ended") return false;
+    const isOther = holder.boot !== "" && holder.entry !== self.entry;
+    return isOther && clock.now() - previous.committedBy < aliveCommitAgeMs;
+  }
+
   /** Least time since the last commit of a silent owner, in ms, for the log. */
   #sinceCommit(previous: PreviousOwner): number | undefined {
     if (previous.state === "ended") return undefined;
@@ -287,6 +303,7 @@
       shard: pool,
       lease,
       previous,
+      areHeartbeatsLate: () => this.#membership.areHeartbeatsLate,
       onLost: () => this.#removeOwned(shard, owner),
     });
     this.#owned.set(shard, owner);
@@ -306,6 +323,7 @@
       entry: deps.self.entry,
       lease,
       previous,
+      areHeartbeatsLate: () => this.#membership.areHeartbeatsLate,
     });
     let stopped = false;
     const owned: OwnedShard = {
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -18,6 +18,7 @@
   leaseTransactionEntries,
   type PreviousOwner,
   type ShardLease,
+  signOfLifeIntervalMs,
 } from "../cluster/index.ts";
 import type { EndpointRegistry } from "../endpoint/index.ts";
 import type { DecisionLog } from "../telemetry/index.ts";
@@ -79,6 +80,8 @@
   readonly log: DecisionLog;
   /** What is known about the previous owner. */
   readonly previous: PreviousOwner;
+  /** Whether the entry's heartbeats fail, so that commits must show its life. */
+  readonly areHeartbeatsLate: () => boolean;
 }
 
 /** Runs maintenance waves and moves hosts between pools. */
@@ -115,7 +118,7 @@
     const listed = await control.list();
     if (listed.err) {
       log.decision("host-list-failed", { message: listed.val });
-      if (lease.ageMs > renewAfterMs) await lease.commit([], []);
+      if (this.#isRenewalDue) await lease.commit([], []);
       return reconcileIntervalMs;
     }
     const hosts = new Map(listed.val.map((host) => [host.host, host]));
@@ -132,6 +135,13 @@
     return this.#isStopped || this.deps.lease.isLost;
   }
 
+  /** Whether the lease is to be renewed without other changes. */
+  get #isRenewalDue(): boolean {
+    const { lease, areHeartbeatsLate } = this.deps;
+    const maxAgeMs = areHeartbeatsLate() ? signOfLifeIntervalMs : renewAfterMs;
+    return lease.ageMs > maxAgeMs;
+  }
+
   /** Loads the state of the previous owner; false on failure. */
   async #load(): Promise<boolean> {
     const { store, clock } = this.deps;
@@ -316,7 +326,7 @@
     );
     const puts = [...waves, ...vacates.puts];
     const isUnchanged = puts.length + vacates.removes.length === 0;
-    if (!isUnchanged || lease.ageMs > renewAfterMs) {
+    if (!isUnchanged || this.#isRenewalDue) {
       const committed = await lease.commit(puts, vacates.removes);
       if (committed.err) {
         log.decision("fleet-not-stored", { message: committed.val.message });
--- a/test/scheduler/occupied_pool.ts
+++ b/test/scheduler/occupied_pool.ts
@@ -205,6 +205,7 @@
     shard,
     lease: await acquired,
     previous: { state: "ended" },
+    areHeartbeatsLate: () => false,
     store,
     orders: endpoints.orders,
     catalog: { current: undefined },
--- a/test/scheduler/shard_owner_test.ts
+++ b/test/scheduler/shard_owner_test.ts
@@ -77,6 +77,7 @@
     shard,
     lease,
     previous: { state: "ended" },
+    areHeartbeatsLate: () => false,
     store: wrapStore(store),
     orders: { ...noOrders, ...orders },
     catalog: { current: undefined },
--- a/test/service/fleet_takeover_test.ts
+++ b/test/service/fleet_takeover_test.ts
@@ -35,6 +35,7 @@
         lease,
         store,
         previous: { state: "ended" },
+        areHeartbeatsLate: () => false,
       });
       const reconcile = async (): Promise<void> => {
         await owner.reconcile();
--- a/test/upkeep/fleet_owner_test.ts
+++ b/test/upkeep/fleet_owner_test.ts
@@ -86,6 +86,7 @@
     clock,
     log: { decision: () => {} },
     previous: { state: "ended" },
+    areHeartbeatsLate: () => false,
   });
   const demand = { want: standbyHosts, offered: [], silent: [] };
   const put = { ...poolDemandKey("quotes"), value: JSON.stringify(demand) };
--- a/test/upkeep/wave_orders_test.ts
+++ b/test/upkeep/wave_orders_test.ts
@@ -78,6 +78,7 @@
     clock,
     log: { decision: () => {} },
     previous: { state: "ended" },
+    areHeartbeatsLate: () => false,
   });
   /** Runs iterations for `ms`. */
   const run = async (ms: number) => {
