--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -253,18 +253,17 @@
    * one a short time ago, also if it was this process.
    */
   #previousOwner({ owner, version }: OwnerRow): PreviousOwner {
-    if (owner === undefined || this.#haveOwnersEnded(owner)) {
-      return { state: "ended" };
-    }
-    // Earlier owners made their last commits before this one.
+    if (owner === undefined) return { state: "ended" };
+    const { entry, boot, previous } = owner;
+    const hasEnded = boot === "" ||
+      this.#membership.hasProcessEnded(entry, boot);
+    if (hasEnded && previous === "ended") return { state: "ended" };
     const committedBy = this.#membership.writtenBy(version);
-    return { state: "silent", committedBy };
-  }
-
-  /** Whether the holder and those before it that still matter have ended. */
-  #haveOwnersEnded({ entry, boot, previous }: OwnerRecord): boolean {
-    if (previous === "silent") return false;
-    return boot === "" || this.#membership.hasProcessEnded(entry, boot);
+    if (!hasEnded) return { state: "silent", committedBy };
+    // The silent one is the owner before, whose last commit was this old when it
+    // was succeeded.
+    const succeededBy = this.deps.clock.now() - aliveCommitAgeMs;
+    return { state: "silent", committedBy: Math.min(committedBy, succeededBy) };
   }
 
   /**
--- a/src/sessions/driver_dependencies.ts
+++ b/src/sessions/driver_dependencies.ts
@@ -5,7 +5,7 @@
 import type { JobSpec, Placement, RunEnd, TaskRef } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import {
-  memberLeaseMs,
+  aliveCommitAgeMs,
   type PreviousOwner,
   type PreviousOwnerState,
   type ShardLease,
@@ -18,6 +18,7 @@
 import type { DecisionFields, DecisionLog } from "../telemetry/index.ts";
 import {
   answerDeliveryMs,
+  type LeaseBound,
   maxClockDrift,
   maxUnsettledOrderMs,
   taskLeaseMs,
@@ -31,15 +32,33 @@
  */
 export const maxCommitAgeForHoldMs = 4_500;
 
+/** Longest time that a task lease lasts after the order that granted it, in ms. */
+const maxTaskLeaseMs = taskLeaseMs * (1 + maxClockDrift) + answerDeliveryMs;
+
+/**
+ * Returns the bound on task leases from earlier owners of a shard that was taken
+ * over at the monotonic time `now`, in ms. One that is only silent may have
+ * extended leases until its last commit was {@link maxCommitAgeForHoldMs} old.
+ */
+export function inheritedLeaseBound(
+  previous: PreviousOwner,
+  now: number,
+): LeaseBound {
+  const ordersEndBy = previous.state === "ended"
+    ? now
+    : Math.max(now, previous.committedBy + maxCommitAgeForHoldMs);
+  return {
+    endsBy: ordersEndBy + maxTaskLeaseMs,
+    longestEndsBy: ordersEndBy + maxUnsettledOrderMs,
+  };
+}
+
 /**
- * Maximum time that a task lease from the previous owner can still last, in ms.
- * An owner that is only silent may have extended leases until its last commit
- * was {@link maxCommitAgeForHoldMs} old. A takeover happens at least
- * `memberLeaseMs` after that commit.
+ * Longest time, in ms after a takeover, that a task lease from an earlier owner
+ * can last. The last commit of a silent one is {@link aliveCommitAgeMs} old then.
  */
 export function maxInheritedLeaseMs(previous: PreviousOwnerState): number {
-  const lease = taskLeaseMs * (1 + maxClockDrift) + answerDeliveryMs;
-  return lease + silentOwnerMs(previous);
+  return maxTaskLeaseMs + maxSilentOwnerMs(previous);
 }
 
 /**
@@ -47,12 +66,12 @@
  * not meant for.
  */
 export function longestInheritedLeaseMs(previous: PreviousOwnerState): number {
-  return maxUnsettledOrderMs + silentOwnerMs(previous);
+  return maxUnsettledOrderMs + maxSilentOwnerMs(previous);
 }
 
-/** Time after a takeover for which the earlier owner may send orders, in ms. */
-function silentOwnerMs(previous: PreviousOwnerState): number {
-  return previous === "ended" ? 0 : maxCommitAgeForHoldMs - memberLeaseMs;
+/** Longest time after a takeover for which an earlier owner sends orders, in ms. */
+function maxSilentOwnerMs(previous: PreviousOwnerState): number {
+  return previous === "ended" ? 0 : maxCommitAgeForHoldMs - aliveCommitAgeMs;
 }
 
 /** Dependencies and callbacks of an `EndpointDriver` and its helpers. */
--- a/src/sessions/inherited_leases.ts
+++ b/src/sessions/inherited_leases.ts
@@ -13,8 +13,7 @@
 import type { TaskEndpoint } from "../endpoint/index.ts";
 import {
   type DriverDependencies,
-  longestInheritedLeaseMs,
-  maxInheritedLeaseMs,
+  inheritedLeaseBound,
 } from "./driver_dependencies.ts";
 import {
   type LeaseBound,
@@ -39,10 +38,7 @@
     >,
   ) {
     const { clock, previous } = deps;
-    this.bound = {
-      endsBy: clock.now() + maxInheritedLeaseMs(previous.state),
-      longestEndsBy: clock.now() + longestInheritedLeaseMs(previous.state),
-    };
+    this.bound = inheritedLeaseBound(previous, clock.now());
     this.#takenOverAt = clock.wall();
   }
 
