--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -19,6 +19,7 @@
   parseJson,
   partitionOf,
   partitionsOf,
+  type StoreCommitOutcome,
   type StoreFailure,
   type StoreRow,
   type StoreRowKey,
@@ -71,6 +72,8 @@
   #hasStoppedAccepting = false;
   /** The last confirmed heartbeat: its monotonic time and duration, in ms. */
   #confirmed: { readonly sentAt: number; readonly delayMs: number };
+  /** Version of this entry's row; undefined if this process has written none. */
+  #ownVersion: number | undefined;
   /** Duration of the last completed heartbeat, in ms. */
   #heartbeatDelayMs = 0;
   /** Monotonic time at which a heartbeat still in flight was sent. */
@@ -171,23 +174,42 @@
 
   /** Writes this entry's heartbeat row, which also lists its shards. */
   async heartbeat(): Promise<void> {
-    const { store, clock, log, onStoreAnswer } = this.deps;
-    const value = JSON.stringify(this.#memberRecord());
+    const { clock, log, onStoreAnswer } = this.deps;
     const sentAt = clock.now();
     this.#pendingSince = sentAt;
-    const outcome = await store.commit({
-      checks: [],
-      puts: [{ ...this.#rowKey(this.deps.self.entry), value }],
-      removes: [],
-    });
+    let outcome = await this.#writeOwnRow();
+    const isOutdated = outcome.ok && outcome.val.kind === "conflict";
+    if (isOutdated) outcome = await this.#writeOwnRow();
     this.#pendingSince = undefined;
     this.#heartbeatDelayMs = clock.now() - sentAt;
-    if (outcome.ok) {
-      this.#confirmed = { sentAt, delayMs: this.#heartbeatDelayMs };
-      onStoreAnswer();
-    } else {
+    if (outcome.err) {
       log.decision("heartbeat-failed", { message: outcome.val.message });
+      return;
+    }
+    onStoreAnswer();
+    if (outcome.val.kind === "conflict") return;
+    this.#confirmed = { sentAt, delayMs: this.#heartbeatDelayMs };
+  }
+
+  /**
+   * Writes this entry's row if it is as this process knows it. So a write that
+   * the store performs late, when a further one or another process of the entry
+   * has written the row, has no effect. After a conflict the row is known.
+   */
+  async #writeOwnRow(): Promise<Result<StoreCommitOutcome, StoreFailure>> {
+    const key = this.#rowKey(this.deps.self.entry);
+    const version = this.#ownVersion;
+    const outcome = await this.deps.store.commit({
+      checks: version === undefined ? [] : [{ ...key, version }],
+      puts: [{ ...key, value: JSON.stringify(this.#memberRecord()) }],
+      removes: [],
+    });
+    if (outcome.ok) {
+      this.#ownVersion = outcome.val.kind === "committed"
+        ? outcome.val.version
+        : outcome.val.rows[0]?.version ?? 0;
     }
+    return outcome;
   }
 
   #rowKey(entry: string): StoreRowKey {
@@ -240,6 +262,7 @@
   async #removeOwnRow(): Promise<void> {
     const { store, self } = this.deps;
     const removes = [this.#rowKey(self.entry)];
+    this.#ownVersion = undefined;
     await store.commit({ checks: [], puts: [], removes });
   }
 
