--- a/soak/bounds.ts
+++ b/soak/bounds.ts
@@ -15,6 +15,12 @@
 /** Heartbeats without which the store removes an endpoint's row. */
 export const missedHeartbeats = 3;
 
+/** Largest share of the store's parts that are down at once. */
+export const maxDownShare = 0.3;
+
+/** Longest time for which parts of the store are down, in ms. */
+export const maxOutageMs = 6_500;
+
 /** Time without disturbance after which a process is in touch, in ms. */
 export const contactMs = 3_000;
 
--- a/soak/cloud.ts
+++ b/soak/cloud.ts
@@ -6,6 +6,9 @@
 import { pause } from "./pause.ts";
 import type { Capacity } from "./play_record.ts";
 
+/** The part that all orders about a host have. */
+const orderSchema = v.object({ machine: v.string() });
+
 const moveSchema = v.object({ machine: v.string(), pool: v.string() });
 
 const upkeepSchema = v.object({
@@ -81,23 +84,43 @@
     this.#server.close();
   }
 
-  #serve({ method, path, body }: Call): Promise<Reply> {
-    return Promise.resolve(this.#reply(`${method} ${path}`, body));
+  #serve(call: Call): Promise<Reply> {
+    return Promise.resolve(this.#reply(call));
   }
 
-  #reply(call: string, body: unknown): Reply {
-    switch (call) {
+  #reply(call: Call): Reply {
+    switch (`${call.method} ${call.path}`) {
       case "GET /-/machines":
         return { status: 200, body: { machines: this.#list() } };
       case "POST /-/machine-move":
-        return this.#move(body);
+        this.#noteOrder(call);
+        return this.#move(call.body);
       case "POST /-/machine-upkeep":
-        return this.#maintain(body);
+        this.#noteOrder(call);
+        return this.#maintain(call.body);
       default:
         return { status: 404 };
     }
   }
 
+  /** Notes who orders what about a host; an order without a host is not noted. */
+  #noteOrder({ headers, body }: Call): void {
+    const { clock, record } = this.deps;
+    const parsed = v.safeParse(orderSchema, body);
+    if (!parsed.success) return;
+    record.hostOrders.push({
+      host: parsed.output.machine,
+      holder: String(headers["lease-holder"] ?? ""),
+      fence: Number(headers["fencing-token"]),
+      at: clock.now,
+    });
+  }
+
+  /** Names of all hosts. */
+  get hostNames(): readonly string[] {
+    return [...this.#hosts.keys()];
+  }
+
   #list(): readonly object[] {
     return [...this.#hosts.values()].map((host) => ({
       machine: host.name,
--- a/soak/draw.ts
+++ b/soak/draw.ts
@@ -4,6 +4,7 @@
  * time that processes and sockets take.
  */
 import { seededRandom } from "../fakes/random.ts";
+import { maxDownShare, maxOutageMs } from "./bounds.ts";
 import {
   busyPools,
   endingQueues,
@@ -70,6 +71,27 @@
 /** Time before the dark from which they come, in ms. */
 const burstLeadMs = 300;
 
+/** Number of outages of parts of the store in a play that has them. */
+const outageTurns = 3;
+
+/** Time from one turn of an outage to the next, in ms. */
+const outageTurnMs = 9_000;
+
+/** Span of its turn in which an outage begins, in ms. */
+const outageSpreadMs = 2_000;
+
+/** Shortest outage, in ms. */
+const minOutageMs = 3_000;
+
+/** Smallest share of the parts that are down in an outage. */
+const minDownShare = 0.1;
+
+/** Bound of the numbers that draw which parts are down. */
+const maxOutageDraw = 1_000_000;
+
+/** Distance of the seeds of outages from those of plays. */
+const outageSeedOffset = 1_000_003;
+
 /** A job that a caller is to send. */
 export interface PlannedJob {
   readonly id: string;
@@ -109,6 +131,31 @@
   readonly kills: readonly PlannedKill[];
 }
 
+/** A time for which a share of the store's parts is down. */
+export interface StoreOutage {
+  /** Time after the beginning of the traffic, in ms. */
+  readonly at: number;
+  readonly ms: number;
+  /** Share of the parts that are down. */
+  readonly share: number;
+  /** Draws which parts these are. */
+  readonly draw: number;
+}
+
+/** A wave over all hosts. */
+export interface PlannedWave {
+  /** Time after the beginning of the traffic, in ms. */
+  readonly at: number;
+  /** Most hosts that may be down for it at once. */
+  readonly maxCount: number;
+}
+
+/** What is drawn besides if the store is to be down in part. */
+export interface OutagePlan {
+  readonly outages: readonly StoreOutage[];
+  readonly wave: PlannedWave;
+}
+
 /** A play. */
 export interface PlayPlan {
   readonly seed: number;
@@ -235,6 +282,30 @@
   });
 }
 
+/** Draws an outage in its turn among those of a play. */
+function drawOutage(draw: Draw, turn: number): StoreOutage {
+  return {
+    at: turn * outageTurnMs + draw.ms(0, outageSpreadMs),
+    ms: draw.ms(minOutageMs, maxOutageMs),
+    share: draw.between(minDownShare, maxDownShare),
+    draw: draw.ms(0, maxOutageDraw),
+  };
+}
+
+/**
+ * Draws when parts of the store are down, and a wave of the same time. It has
+ * random numbers of its own, so that the rest of a play is as without it.
+ */
+export function drawOutages(seed: number): OutagePlan {
+  const draw = new Draw(seed + outageSeedOffset);
+  const outages = Array.from(
+    { length: outageTurns },
+    (_, turn) => drawOutage(draw, turn),
+  );
+  const wave = { at: draw.ms(0, waveSpreadMs), maxCount: draw.ms(2, 5) };
+  return { outages, wave };
+}
+
 /** Draws a play from its seed. */
 export function drawPlay(seed: number): PlayPlan {
   const draw = new Draw(seed);
--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -1,9 +1,16 @@
 /** Carries out the drawn rounds of faults. */
 import * as v from "valibot";
+import { seededRandom } from "../fakes/random.ts";
+import { hash32 } from "../src/hash.ts";
 import { ownerTable } from "../src/cluster/index.ts";
 import { parseJson } from "../src/store/index.ts";
 import type { CloudStandIn } from "./cloud.ts";
-import type { FaultRound, PlannedKill } from "./draw.ts";
+import type {
+  FaultRound,
+  PlannedKill,
+  PlannedWave,
+  StoreOutage,
+} from "./draw.ts";
 import type { Endpoint } from "./endpoint.ts";
 import type { EntryProcess } from "./entry_process.ts";
 import { pause, type PlayClock } from "./pause.ts";
@@ -17,6 +24,12 @@
 /** Time for which a run has just begun, in ms. */
 const recentMs = 300;
 
+/** Number of the wave in a play. */
+const waveNumber = 1;
+
+/** Time that the operator gives for the wave, in s. */
+const waveDurationS = 60;
+
 /** Key of the row that tells who owns a pool. */
 const ownerKey = "owner";
 
@@ -34,6 +47,11 @@
   readonly tell: (line: string) => void;
 }
 
+/** Whether a part belongs to the share that a number draws. */
+function isDrawn(draw: number, part: string, share: number): boolean {
+  return seededRandom(hash32(`${draw} ${part}`))() < share;
+}
+
 /** The faults of a play. */
 export class Faults {
   /** Entries that are being started again. */
@@ -125,6 +143,38 @@
     );
   }
 
+  /** Takes a share of the store's parts down; times are counted from `startAt`. */
+  async takeDown(outage: StoreOutage, startAt: number): Promise<void> {
+    const { clock, record, store, tell } = this.deps;
+    await clock.until(startAt + outage.at);
+    const { share, draw } = outage;
+    const disturbance: Disturbance = {
+      what: "down",
+      who: "store",
+      from: clock.now,
+    };
+    record.disturbances.push(disturbance);
+    store.isDown = (part) => part !== "" && isDrawn(draw, part, share);
+    tell(`${Math.round(100 * share)} % of the store's parts are down`);
+    await pause(outage.ms);
+    store.isDown = () => false;
+    disturbance.to = clock.now;
+    tell("the store is whole again");
+  }
+
+  /** Requests a wave over all hosts. */
+  async requestWave({ at, maxCount }: PlannedWave, startAt: number) {
+    const { clock, cloud, store, tell } = this.deps;
+    await clock.until(startAt + at);
+    store.put("op", `wave/${waveNumber}`, {
+      wave: waveNumber,
+      machines: cloud.hostNames,
+      durationS: waveDurationS,
+      maxCount,
+    });
+    tell(`a wave over all hosts begins, ${maxCount} at once`);
+  }
+
   async #killEntry(entry: EntryProcess, restartAfterMs: number): Promise<void> {
     const { clock, record, tell } = this.deps;
     const { name } = entry.plan;
--- a/soak/finding.ts
+++ b/soak/finding.ts
@@ -14,14 +14,15 @@
   | "nothing runs in the end"
   | "lasting task does not run in the end"
   | "lasting task does not run in a calm time"
+  | "lower fence after a higher one"
   | "own end";
 
 /** A broken rule. */
 export interface Finding {
   /** `FAULT`: an entry has ended by itself. */
-  readonly rule: "TWICE" | "LOST" | "MIXED" | "FAULT";
+  readonly rule: "TWICE" | "LOST" | "MIXED" | "ONE" | "FAULT";
   readonly part: RulePart;
-  /** Id of the job, or the name of the entry. */
+  /** Id of the job, or the name of the host or entry. */
   readonly job: string;
   /** The task, if the finding is about one. */
   readonly task?: string;
--- a/soak/judge.ts
+++ b/soak/judge.ts
@@ -2,6 +2,7 @@
 import type { Finding } from "./finding.ts";
 import { AnswerJudge } from "./judge_answers.ts";
 import { IdleJudge } from "./judge_idle.ts";
+import { judgeOne } from "./judge_one.ts";
 import { judgeTwice } from "./judge_twice.ts";
 import type { PlayRecord } from "./play_record.ts";
 
@@ -9,6 +10,7 @@
 export function judgePlay(record: PlayRecord): readonly Finding[] {
   const findings = [
     ...judgeTwice(record),
+    ...judgeOne(record),
     ...new AnswerJudge(record).judge(),
     ...new IdleJudge(record).judge(),
   ];
--- a/soak/options.ts
+++ b/soak/options.ts
@@ -18,6 +18,8 @@
   readonly plays: number;
   /** Share of the time in which each entry may run, in percent. */
   readonly coreShare: number;
+  /** Whether parts of the store are down at times, and a wave runs. */
+  readonly hasOutages: boolean;
   /** Whether the logs and settings of the entries stay after the play. */
   readonly keepsLogs: boolean;
 }
@@ -38,11 +40,13 @@
     seed: wholeNumber(0, maxSeed),
     plays: wholeNumber(1, maxPlays),
     "core-share": wholeNumber(1, 100),
+    outages: v.boolean(),
     "keep-logs": v.boolean(),
   }),
-  v.transform(({ seed, plays, ...rest }) => ({
+  v.transform(({ seed, plays, outages, ...rest }) => ({
     seed,
     plays,
+    hasOutages: outages,
     coreShare: rest["core-share"],
     keepsLogs: rest["keep-logs"],
   })),
@@ -59,6 +63,7 @@
         seed: { type: "string", default: "1" },
         plays: { type: "string", default: "1" },
         "core-share": { type: "string", default: "100" },
+        outages: { type: "boolean", default: false },
         "keep-logs": { type: "boolean", default: false },
       },
     });
--- a/soak/play.ts
+++ b/soak/play.ts
@@ -7,7 +7,7 @@
 import { finishMs, idleMs } from "./bounds.ts";
 import { Callers } from "./callers.ts";
 import { CloudStandIn } from "./cloud.ts";
-import { drawPlay, type PlayPlan, trafficMs } from "./draw.ts";
+import { drawOutages, drawPlay, type PlayPlan, trafficMs } from "./draw.ts";
 import { type EntryCommand, EntryProcess } from "./entry_process.ts";
 import { Faults } from "./faults.ts";
 import type { Finding } from "./finding.ts";
@@ -113,6 +113,11 @@
     if (killAllAt !== undefined) {
       faulting.push(faults.killAll(startAt + killAllAt));
     }
+    if (this.options.hasOutages) {
+      const { outages, wave } = drawOutages(this.seed);
+      faulting.push(faults.requestWave(wave, startAt));
+      faulting.push(...outages.map((each) => faults.takeDown(each, startAt)));
+    }
     await this.#clock.until(startAt + trafficMs);
     await Promise.all(faulting);
     this.#tell("the traffic ends");
--- a/soak/play_record.ts
+++ b/soak/play_record.ts
@@ -65,14 +65,24 @@
 
 /** A time in which something was disturbed. */
 export interface Disturbance {
-  readonly what: "dark" | "cut" | "kill";
-  /** Who was disturbed: the id of an endpoint or the name of an entry. */
+  readonly what: "dark" | "cut" | "kill" | "down";
+  /** Who was disturbed: the id of an endpoint, the name of an entry, the store. */
   readonly who: string;
   readonly from: number;
   /** End of the disturbance; undefined while it lasts. */
   to?: number;
 }
 
+/** An order about a host, as the platform received it. */
+export interface SeenHostOrder {
+  readonly host: string;
+  /** The entry that sent it. */
+  readonly holder: string;
+  /** Its fencing token. */
+  readonly fence: number;
+  readonly at: number;
+}
+
 /** Resources of an endpoint. */
 export interface Capacity {
   /** Thousandths of a core. */
@@ -101,6 +111,8 @@
   readonly answers: SeenAnswer[] = [];
   readonly disturbances: Disturbance[] = [];
   readonly lives: SeenLife[] = [];
+  /** Orders about hosts, in the order in which they came. */
+  readonly hostOrders: SeenHostOrder[] = [];
   /** Time at which jobs were asked for in the end, in ms. */
   finishAt = Infinity;
   /** End of the play, in ms. */
--- a/soak/store.ts
+++ b/soak/store.ts
@@ -171,6 +171,9 @@
   }
 }
 
+/** Answer to a call to a part that is down. */
+const unavailable: Reply = { status: 503 };
+
 /** Answer to a call beyond a rate. */
 const tooMany: Reply = { status: 429 };
 
@@ -182,6 +185,8 @@
   readonly #writes = new CallRate(writesPerSecond);
   readonly #reads = new CallRate(readsPerSecond);
   #version = 0;
+  /** Whether a part is down, so that calls to it are refused. */
+  isDown: (part: string) => boolean = () => false;
 
   /** Listens on a free loopback port; returns the address. */
   listen(): Promise<string> {
@@ -252,6 +257,7 @@
     const turns = this.#turnsOf([...parts][0] ?? "");
     if (turns.isFull) return tooMany;
     await turns.take();
+    if ([...parts].some((part) => this.isDown(part))) return unavailable;
     return this.#perform(tx);
   }
 
@@ -288,6 +294,7 @@
 
   #getRange(query: URLSearchParams): Reply {
     const part = query.get("part") ?? "";
+    if (this.isDown(part)) return unavailable;
     const from = query.get("from") ?? "";
     const to = query.get("to");
     const limit = Math.min(
--- a/test/sim/describe_model_fuzz.ts
+++ b/test/sim/describe_model_fuzz.ts
@@ -120,14 +120,43 @@
   { weight: 17, arbitrary: arbitraryAction },
 ) as fc.Arbitrary<Action>;
 
+/** Draws outages of parts of the store, and waves, between other actions. */
+const arbitraryOutageAction: fc.Arbitrary<Action> = fc.oneof(
+  {
+    weight: 3,
+    arbitrary: fc.record({
+      kind: fc.constant("store-part"),
+      share: fc.constantFrom(0.1, 0.2, 0.3),
+      draw: fc.nat({ max: 1_000_000 }),
+      ms: fc.integer({ min: 1_000, max: 6_500 }),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("store-table"),
+      table: fc.constant("members"),
+      ms: fc.integer({ min: 1_000, max: 6_500 }),
+    }),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.record({
+      kind: fc.constant("wave"),
+      hosts: fc.integer({ min: 4, max: 16 }),
+    }),
+  },
+  { weight: 25, arbitrary: arbitraryAction },
+) as fc.Arbitrary<Action>;
+
 /** Limits at the beginning of a day with limits. */
 const firstLimits = { acme: cpuLimit(6_000), zenith: cpuLimit(3_000) };
 
 /**
- * Kinds of day: without restarts under an id, with them and long tasks, or with
- * limits of workspaces.
+ * Kinds of day: without restarts under an id, with them and long tasks, with
+ * limits of workspaces, or with a store that is down in part.
  */
-export type FuzzedDay = "usual" | "restarts" | "limits";
+export type FuzzedDay = "usual" | "restarts" | "limits" | "outages";
 
 /** Share of long tasks on days with restarts, which outlast any lease. */
 const longShare = 0.35;
@@ -137,6 +166,7 @@
   usual: { action: arbitraryAction, options: {} },
   restarts: { action: arbitraryRestartAction, options: { longShare } },
   limits: { action: arbitraryLimitAction, options: { limits: firstLimits } },
+  outages: { action: arbitraryOutageAction, options: {} },
 };
 
 /** Registers a suite that performs action sequences generated from a seed. */
--- a/test/soak/draw_test.ts
+++ b/test/soak/draw_test.ts
@@ -1,7 +1,8 @@
 /** Tests what the soak draws from a seed. */
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { drawPlay, trafficMs } from "../../soak/draw.ts";
+import { maxDownShare, maxOutageMs } from "../../soak/bounds.ts";
+import { drawOutages, drawPlay, trafficMs } from "../../soak/draw.ts";
 
 const seeds = [1, 2, 3, 4, 5];
 
@@ -40,3 +41,21 @@
     }
   });
 });
+
+describe("the drawn outages of a play", () => {
+  it("are the same for the same seed", () => {
+    assert.deepEqual(drawOutages(7), drawOutages(7));
+  });
+
+  it("keep within the bounds, one after another, and end with the traffic", () => {
+    for (const { outages } of seeds.map(drawOutages)) {
+      let freeFrom = 0;
+      for (const { at, ms, share } of outages) {
+        assert.ok(at >= freeFrom);
+        assert.ok(ms <= maxOutageMs && share <= maxDownShare);
+        freeFrom = at + ms;
+      }
+      assert.ok(freeFrom < trafficMs);
+    }
+  });
+});
--- a/test/soak/options_test.ts
+++ b/test/soak/options_test.ts
@@ -6,14 +6,27 @@
 describe("the options of the batch soak", () => {
   it("are one play of seed 1 by default", () => {
     const options = parseOptions([]).unwrap();
-    const expected = { seed: 1, plays: 1, coreShare: 100, keepsLogs: false };
+    const expected = {
+      seed: 1,
+      plays: 1,
+      coreShare: 100,
+      hasOutages: false,
+      keepsLogs: false,
+    };
     assert.deepEqual(options, expected);
   });
 
   it("name the first seed and the number of plays", () => {
     const args = ["--seed", "7", "--plays", "3", "--core-share", "25"];
-    const options = parseOptions([...args, "--keep-logs"]).unwrap();
-    const expected = { seed: 7, plays: 3, coreShare: 25, keepsLogs: true };
+    const flags = ["--outages", "--keep-logs"];
+    const options = parseOptions([...args, ...flags]).unwrap();
+    const expected = {
+      seed: 7,
+      plays: 3,
+      coreShare: 25,
+      hasOutages: true,
+      keepsLogs: true,
+    };
     assert.deepEqual(options, expected);
   });
 
--- a/test/soak/store_test.ts
+++ b/test/soak/store_test.ts
@@ -51,6 +51,23 @@
 
   afterEach(() => store.close());
 
+  describe("a part that is down", () => {
+    it("refuses transactions and reads, and no other part does", async () => {
+      store.isDown = (part) => part === "p";
+      assert.equal((await transact({ puts: [row("a")] })).status, 503);
+      assert.equal((await get("rows-get?table=t&part=p")).status, 503);
+      assert.equal((await transact({ puts: [row("a", "q")] })).status, 200);
+      assert.equal((await get("rows-get?table=t&part=q")).status, 200);
+    });
+
+    it("has not performed what it refused", async () => {
+      store.isDown = () => true;
+      await transact({ puts: [row("a")] });
+      store.isDown = () => false;
+      assert.deepEqual((await get("rows-get?table=t&part=p")).rows, []);
+    });
+  });
+
   describe("a transaction", () => {
     it("is applied if its checks are met", async () => {
       const first = await transact({ puts: [row("a")] });
