--- a/sim/batch_simulation.ts
+++ b/sim/batch_simulation.ts
@@ -3,13 +3,11 @@
  * clock, with models of the store, endpoints, hosts and callers, and an oracle
  * that checks the outcome.
  */
-import { type Catalog, CatalogHolder } from "../src/catalog/index.ts";
+import { CatalogHolder } from "../src/catalog/index.ts";
 import {
   type JobSpec,
   occurrenceCount,
-  parseTaskName,
   type Resources,
-  type StepSpec,
 } from "../src/batch/index.ts";
 import { EndpointRegistry } from "../src/endpoint/index.ts";
 import { BatchService } from "../src/service/index.ts";
@@ -17,7 +15,7 @@
 import type { RequestedWave } from "../src/upkeep/index.ts";
 import { LostWatch } from "./lost_watch.ts";
 import { ModelAdvisor } from "./model_advisor.ts";
-import type { ModelEndpoint, TaskModel } from "./model_endpoint.ts";
+import type { ModelEndpoint } from "./model_endpoint.ts";
 import { ModelGangs } from "./model_gangs.ts";
 import { type ModelHost, ModelHosts } from "./model_hosts.ts";
 import { ModelLink } from "./model_link.ts";
@@ -27,14 +25,11 @@
   ModelRegistrations,
 } from "./model_registrations.ts";
 import { ModelStore } from "./model_store.ts";
+import { OperatorCatalog } from "./operator_catalog.ts";
 import { BatchOracle } from "./oracle.ts";
-import { poolNames, queueForPool } from "./pools.ts";
-import { fnv1a32, mulberry32 } from "./random.ts";
-import {
-  type Limits,
-  type WorkspaceName,
-  workspacesWith,
-} from "./workspaces.ts";
+import { mulberry32 } from "./random.ts";
+import { type TaskModelOptions, TaskModels } from "./task_models.ts";
+import type { Limits, WorkspaceName } from "./workspaces.ts";
 import { ProcessClock, VirtualClock } from "./virtual_clock.ts";
 
 /** Longest step by which the clock advances at once, in ms. */
@@ -46,21 +41,13 @@
 /** Time after which an entry that can't read the catalog tries again, in ms. */
 const catalogRetryMs = 100;
 
-/** Factor by which a long task exceeds its run time as estimated. */
-const longTaskFactor = 12;
-
 /** Size and seed of a simulation. */
-export interface BatchSimulationOptions {
-  readonly seed: number;
+export interface BatchSimulationOptions extends TaskModelOptions {
   /** Number of entries. */
   readonly entries: number;
   readonly hostsPerPool: number;
-  /** Average run time of tasks divided by the caller's estimate; default 1. */
-  readonly workFactor?: number;
   /** Rate of each entry's link, in bytes per ms; default without a limit. */
   readonly linkBytesPerMs?: number;
-  /** Share of tasks that take twelve times as long as others; default 0. */
-  readonly longShare?: number;
   /** Limits of the workspaces; without them the catalog lists none. */
   readonly limits?: Limits;
 }
@@ -76,14 +63,6 @@
   readonly service: BatchService;
 }
 
-/** The operator's first catalog. */
-const firstCatalog: Catalog = {
-  version: 1,
-  queues: poolNames.slice(0, -1).map(queueForPool),
-  pools: poolNames.map((name) => ({ name, standby: name === "spare" })),
-  maxBodyBytes: 100_000,
-};
-
 /**
  * A simulated fleet. A test submits jobs and starts disturbances, advances
  * the clock, and ends with `endDisturbances`, `advance` and `finish`.
@@ -109,9 +88,7 @@
   readonly #registrations: ModelRegistrations;
   readonly #hosts: ModelHosts;
   #bootCount = 0;
-  /** The operator's newest catalog. */
-  #catalog = firstCatalog;
-  #limits: Limits = {};
+  readonly #catalog = new OperatorCatalog(this.oracle.quota);
   /** Share of start and stop orders that get no answer and take effect late. */
   lateShare = 0;
 
@@ -119,19 +96,21 @@
     this.random = mulberry32(options.seed);
     this.store = new ModelStore(this.clock, this.random);
     this.#registrations = new ModelRegistrations(this.store, this.clock);
+    const tasks = new TaskModels(options, this.jobSpecs, this.advisor);
     this.#hosts = new ModelHosts(
       options.hostsPerPool,
       {
         clock: this.clock,
         oracle: this.oracle,
         clockDrift,
-        modelOf: (task) => this.#taskModel(task),
+        modelOf: (task) => tasks.of(task),
         gangs: new ModelGangs(this.clock),
       },
       this.#registrations,
       this.random,
     );
-    if (options.limits !== undefined) this.#defineLimits(options.limits);
+    const { limits } = options;
+    if (limits !== undefined) this.#catalog.defineLimits(limits);
     for (let i = 0; i < options.entries; i++) this.startEntry(`entry-${i}`);
   }
 
@@ -162,7 +141,7 @@
     const orders = new ModelOrders(process, this.#hosts.network);
     orders.lateShare = this.lateShare;
     const catalog = new CatalogHolder();
-    catalog.updateIfNewer(this.#catalog);
+    catalog.updateIfNewer(this.#catalog.newest);
     const registry = new EndpointRegistry();
     const service = new BatchService({
       self: {
@@ -264,14 +243,10 @@
    * once in force at all entries but those that are named.
    */
   sendQueue(queue: string, pool: string, except: readonly string[] = []): void {
-    const queues = this.#catalog.queues.map((each) =>
-      each.name === queue ? { ...each, pool } : each
-    );
-    const version = this.#catalog.version + 1;
-    this.#catalog = { ...this.#catalog, version, queues };
+    this.#catalog.sendQueue(queue, pool);
     for (const entry of this.entries.values()) {
       if (except.includes(entry.name)) continue;
-      entry.catalog.updateIfNewer(this.#catalog);
+      entry.catalog.updateIfNewer(this.#catalog.newest);
     }
   }
 
@@ -280,28 +255,15 @@
    * force at an entry as soon as that runs and reaches the store.
    */
   setLimit(workspace: WorkspaceName, limit: Resources): void {
-    this.#defineLimits({ ...this.#limits, [workspace]: limit });
+    this.#catalog.setLimit(workspace, limit);
     for (const entry of this.entries.values()) this.#sendCatalog(entry);
   }
 
-  /** Puts limits into the catalog that entries read from now on. */
-  #defineLimits(limits: Limits): void {
-    this.#limits = limits;
-    this.#catalog = {
-      ...this.#catalog,
-      version: this.#catalog.version + 1,
-      workspaces: workspacesWith(limits),
-    };
-    for (const { name, limit } of this.#catalog.workspaces?.all() ?? []) {
-      this.oracle.quota.limitSet(name, limit);
-    }
-  }
-
   /** Gives an entry the newest catalog once it can read it. */
   #sendCatalog({ name, process, catalog }: ModelEntry): void {
     if (process.isDead) return;
     if (!process.isPaused && this.store.serves(name)) {
-      catalog.updateIfNewer(this.#catalog);
+      catalog.updateIfNewer(this.#catalog.newest);
       return;
     }
     this.clock.after(catalogRetryMs, () => {
@@ -456,7 +418,8 @@
   }
 
   #poolOf(spec: JobSpec): string {
-    return this.#catalog.queues.find(({ name }) => name === spec.queue)?.pool ??
+    return this.#catalog.newest.queues.find(({ name }) => name === spec.queue)
+      ?.pool ??
       "";
   }
 
@@ -498,29 +461,4 @@
     if (found === undefined) throw new Error(`entry ${name} does not exist`);
     return found;
   }
-
-  /**
-   * How a task behaves. Its run time and failures follow from the seed and its
-   * name, so that they are the same on every endpoint.
-   */
-  #taskModel(task: string): TaskModel | undefined {
-    const parsed = parseTaskName(task);
-    const spec = parsed && this.jobSpecs.get(parsed.job);
-    const step: StepSpec | undefined = spec?.steps[parsed?.ref.step ?? -1];
-    if (spec === undefined || step === undefined) return undefined;
-    const { workFactor = 1, longShare = 0 } = this.options;
-    const random = mulberry32(fnv1a32(`${this.options.seed} ${task}`));
-    const usualMs = step.estimateMs * (0.5 + random()) * workFactor;
-    const alwaysFails = spec.payload === "poison";
-    const failureCount = Math.floor(random() * 1.3);
-    const isLong = random() < longShare;
-    const durationMs = isLong ? longTaskFactor * usualMs : usualMs;
-    return {
-      step,
-      durationMs,
-      fails: (run) => alwaysFails || run <= failureCount,
-      admits: (endpoint, ticket) =>
-        !spec.advised || this.advisor.acceptsTicket(task, endpoint, ticket),
-    };
-  }
 }
