--- a/soak/faults.ts
+++ b/soak/faults.ts
@@ -163,7 +163,10 @@
   }
 
   /** Requests a wave over all hosts. */
-  async requestWave({ at, maxCount }: PlannedWave, startAt: number) {
+  async requestWave(
+    { at, maxCount }: PlannedWave,
+    startAt: number,
+  ): Promise<void> {
     const { clock, cloud, store, tell } = this.deps;
     await clock.until(startAt + at);
     store.put("op", `wave/${waveNumber}`, {
