--- a/sim/actions.ts
+++ b/sim/actions.ts
@@ -52,7 +52,7 @@
    * decides to which.
    */
   | {
-    readonly kind: "store-part";
+    readonly kind: "store-partitions";
     readonly share: number;
     readonly draw: number;
     readonly ms: number;
@@ -196,7 +196,7 @@
       case "store":
         this.#disturbStore(action.entry, action.behavior, action.ms);
         break;
-      case "store-part":
+      case "store-partitions":
         this.#takePartitionsDown(
           (partition) => isDrawn(action.draw, partition, action.share),
           action.ms,
--- a/sim/model_store.ts
+++ b/sim/model_store.ts
@@ -1,7 +1,7 @@
 /**
  * In-memory model of the row store. It is linearizable and simulates delays,
- * outages for some or all processes or of some partitions, commits whose answer is lost or that take
- * effect late, and dropped change history.
+ * outages for some or all processes or of some partitions, commits whose answer
+ * is lost or that take effect late, and dropped change history.
  */
 import { Buffer } from "node:buffer";
 import { Err, Ok, type Result } from "ts-results";
--- a/src/cluster/index.ts
+++ b/src/cluster/index.ts
@@ -6,12 +6,12 @@
 } from "./assignment.ts";
 export { selectCandidates } from "./candidates.ts";
 export {
-  aliveCommitAgeMs,
   type ClusterMember,
+  livenessCommitAgeMs,
+  livenessCommitIntervalMs,
   memberLeaseMs,
   memberSchema,
   MemberView,
-  signOfLifeIntervalMs,
 } from "./members.ts";
 export {
   type CommitFailure,
--- a/src/cluster/members.ts
+++ b/src/cluster/members.ts
@@ -15,18 +15,18 @@
 export const memberLeaseMs = 1_350;
 
 /**
- * Age of an owner's last commit, in ms, up to which the commit shows that the owner
- * is alive although its heartbeats don't: the partition that holds them may be
- * unavailable. An owner that ends makes its last commit less than a heartbeat
- * interval after its last heartbeat, so that its lease outlasts this age.
+ * Age of an owner's last commit, in ms, below which the owner counts as alive even
+ * without heartbeats: the partition that holds them may be unavailable. It is at
+ * most the member's lease less one heartbeat interval, so that an owner that has
+ * ended is not succeeded later.
  */
-export const aliveCommitAgeMs = 900;
+export const livenessCommitAgeMs = 900;
 
 /**
- * Interval, in ms, at which an owner whose heartbeats fail commits, so that its
- * commits stay below {@link aliveCommitAgeMs}.
+ * Interval of the commits of an owner whose heartbeats fail, in ms. It keeps the
+ * age of its last commit below {@link livenessCommitAgeMs}.
  */
-export const signOfLifeIntervalMs = 450;
+export const livenessCommitIntervalMs = 450;
 
 /**
  * Delay of a member's own heartbeats that its lease covers, in ms: the interval
--- a/src/cluster/shard_lease.ts
+++ b/src/cluster/shard_lease.ts
@@ -57,7 +57,7 @@
     readonly state: "silent";
     /**
      * Monotonic time, in ms, by which the last commit of each of them had taken
-     * effect. What they do on the strength of it counts from there.
+     * effect. Their leases and their orders about hosts are bounded from there.
      */
     readonly committedBy: number;
   };
--- a/src/scheduler/shard_dependencies.ts
+++ b/src/scheduler/shard_dependencies.ts
@@ -18,7 +18,7 @@
   readonly lease: ShardLease;
   /** What is known about the previous owner of the shard. */
   readonly previous: PreviousOwner;
-  /** Whether the entry's heartbeats fail, so that commits must show its life. */
+  /** Whether the entry's heartbeats fail, so that its commits must show that it is alive. */
   readonly areHeartbeatsLate: () => boolean;
   readonly store: Store;
   readonly orders: TaskOrders;
--- a/src/scheduler/shard_owner.ts
+++ b/src/scheduler/shard_owner.ts
@@ -16,7 +16,10 @@
   readySteps,
   type Resources,
 } from "../batch/index.ts";
-import { type CommitFailure, signOfLifeIntervalMs } from "../cluster/index.ts";
+import {
+  type CommitFailure,
+  livenessCommitIntervalMs,
+} from "../cluster/index.ts";
 import type { StoreRowKey } from "../store/index.ts";
 import { DemandReporter } from "../capacity/index.ts";
 import { AdvisedSteps, PassTimer, Placer } from "../placement/index.ts";
@@ -360,7 +363,7 @@
   #renewLease(): void {
     const { lease, areHeartbeatsLate } = this.deps;
     const maxAgeMs = areHeartbeatsLate()
-      ? signOfLifeIntervalMs
+      ? livenessCommitIntervalMs
       : maxCommitIntervalMs;
     if (lease.ageMs > maxAgeMs) this.commits.flush();
   }
--- a/src/service/membership.ts
+++ b/src/service/membership.ts
@@ -192,9 +192,9 @@
   }
 
   /**
-   * Writes this entry's row if it is as this process knows it. So a write that
-   * the store performs late, when a further one or another process of the entry
-   * has written the row, has no effect. After a conflict the row is known.
+   * Writes this entry's row unless it has changed since this process last wrote or
+   * read it. So a delayed write has no effect once a later one, also of a restarted
+   * process, has changed the row. A conflict tells the row's present version.
    */
   async #writeOwnRow(): Promise<Result<StoreCommitOutcome, StoreFailure>> {
     const key = this.#rowKey(this.deps.self.entry);
--- a/src/service/shard_manager.ts
+++ b/src/service/shard_manager.ts
@@ -4,11 +4,11 @@
  */
 import type { Catalog } from "../catalog/index.ts";
 import {
-  aliveCommitAgeMs,
   assignShards,
   type ClusterMember,
   compareByPreference,
   fleetShard,
+  livenessCommitAgeMs,
   memberLeaseMs,
   type OwnerRecord,
   type OwnerRow,
@@ -260,10 +260,10 @@
     if (hasEnded && previous === "ended") return { state: "ended" };
     const committedBy = this.#membership.writtenBy(version);
     if (!hasEnded) return { state: "silent", committedBy };
-    // The silent one is the owner before, whose last commit was this old when it
-    // was succeeded.
-    const succeededBy = this.deps.clock.now() - aliveCommitAgeMs;
-    return { state: "silent", committedBy: Math.min(committedBy, succeededBy) };
+    // The silent owner is the one before the holder. Its last commit was at least
+    // this old when the holder took over.
+    const latest = this.deps.clock.now() - livenessCommitAgeMs;
+    return { state: "silent", committedBy: Math.min(committedBy, latest) };
   }
 
   /**
@@ -277,7 +277,7 @@
     const { self, clock } = this.deps;
     if (holder === undefined || previous.state === "ended") return false;
     const isOther = holder.boot !== "" && holder.entry !== self.entry;
-    return isOther && clock.now() - previous.committedBy < aliveCommitAgeMs;
+    return isOther && clock.now() - previous.committedBy < livenessCommitAgeMs;
   }
 
   /** Least time since the last commit of a silent owner, in ms, for the log. */
--- a/src/sessions/driver_dependencies.ts
+++ b/src/sessions/driver_dependencies.ts
@@ -5,7 +5,7 @@
 import type { JobSpec, Placement, RunEnd, TaskRef } from "../batch/index.ts";
 import type { Clock } from "../clock/index.ts";
 import {
-  aliveCommitAgeMs,
+  livenessCommitAgeMs,
   type PreviousOwner,
   type PreviousOwnerState,
   type ShardLease,
@@ -55,7 +55,7 @@
 
 /**
  * Longest time, in ms after a takeover, that a task lease from an earlier owner
- * can last. The last commit of a silent one is {@link aliveCommitAgeMs} old then.
+ * can last. The last commit of a silent one is {@link livenessCommitAgeMs} old then.
  */
 export function maxInheritedLeaseMs(previous: PreviousOwnerState): number {
   return maxTaskLeaseMs + maxSilentOwnerMs(previous);
@@ -71,7 +71,7 @@
 
 /** Longest time after a takeover for which an earlier owner sends orders, in ms. */
 function maxSilentOwnerMs(previous: PreviousOwnerState): number {
-  return previous === "ended" ? 0 : maxCommitAgeForHoldMs - aliveCommitAgeMs;
+  return previous === "ended" ? 0 : maxCommitAgeForHoldMs - livenessCommitAgeMs;
 }
 
 /** Dependencies and callbacks of an `EndpointDriver` and its helpers. */
--- a/src/upkeep/fleet_owner.ts
+++ b/src/upkeep/fleet_owner.ts
@@ -16,9 +16,9 @@
 import {
   fleetShard,
   leaseTransactionEntries,
+  livenessCommitIntervalMs,
   type PreviousOwner,
   type ShardLease,
-  signOfLifeIntervalMs,
 } from "../cluster/index.ts";
 import type { EndpointRegistry } from "../endpoint/index.ts";
 import type { DecisionLog } from "../telemetry/index.ts";
@@ -80,7 +80,7 @@
   readonly log: DecisionLog;
   /** What is known about the previous owner. */
   readonly previous: PreviousOwner;
-  /** Whether the entry's heartbeats fail, so that commits must show its life. */
+  /** Whether the entry's heartbeats fail, so that its commits must show that it is alive. */
   readonly areHeartbeatsLate: () => boolean;
 }
 
@@ -138,7 +138,9 @@
   /** Whether the lease is to be renewed without other changes. */
   get #isRenewalDue(): boolean {
     const { lease, areHeartbeatsLate } = this.deps;
-    const maxAgeMs = areHeartbeatsLate() ? signOfLifeIntervalMs : renewAfterMs;
+    const maxAgeMs = areHeartbeatsLate()
+      ? livenessCommitIntervalMs
+      : renewAfterMs;
     return lease.ageMs > maxAgeMs;
   }
 
--- a/test/service/membership_test.ts
+++ b/test/service/membership_test.ts
@@ -54,6 +54,13 @@
     });
   }
 
+  /** Sends a heartbeat that has no answer. */
+  async function loseHeartbeat(member: Membership): Promise<void> {
+    isAnswering = false;
+    await after(member.heartbeat());
+    isAnswering = true;
+  }
+
   /** Process that the row of the entry names; undefined without a row. */
   function bootInRow(): string | undefined {
     const [row] = model.table("members");
@@ -65,9 +72,7 @@
   it("have no effect if performed after the next process has sent one", async () => {
     const earlier = start("e#1");
     await after(earlier.heartbeat());
-    isAnswering = false;
-    await after(earlier.heartbeat());
-    isAnswering = true;
+    await loseHeartbeat(earlier);
     await after(start("e#2").heartbeat());
     assert.equal(bootInRow(), "e#2");
     for (const tx of unanswered) await after(store.commit(tx));
@@ -78,9 +83,7 @@
   it("go on after one whose answer was lost", async () => {
     const member = start("e#1");
     await after(member.heartbeat());
-    isAnswering = false;
-    await after(member.heartbeat());
-    isAnswering = true;
+    await loseHeartbeat(member);
     for (const tx of unanswered) await after(store.commit(tx));
     const [before] = model.table("members");
     await after(member.heartbeat());
@@ -101,8 +104,7 @@
     const member = start("e#1");
     await after(member.heartbeat());
     assert.equal(member.areHeartbeatsLate, false);
-    isAnswering = false;
-    await after(member.heartbeat());
+    await loseHeartbeat(member);
     await clock.advance(1_000);
     assert.equal(member.areHeartbeatsLate, true);
   });
--- a/test/sim/describe_model_fuzz.ts
+++ b/test/sim/describe_model_fuzz.ts
@@ -125,7 +125,7 @@
   {
     weight: 3,
     arbitrary: fc.record({
-      kind: fc.constant("store-part"),
+      kind: fc.constant("store-partitions"),
       share: fc.constantFrom(0.1, 0.2, 0.3),
       draw: fc.nat({ max: 1_000_000 }),
       ms: fc.integer({ min: 1_000, max: 6_500 }),
--- a/test/sim/partial_outage_test.ts
+++ b/test/sim/partial_outage_test.ts
@@ -5,8 +5,10 @@
 import type { BatchSimulation } from "../../sim/batch_simulation.ts";
 import { endSimulation, settledSimulation } from "./settled_simulation.ts";
 
-/** Length of an outage, and of the pause until the next, in ms. */
+/** Length of an outage, in ms. */
 const outageMs = 6_000;
+
+/** Pause until the next outage, in ms. */
 const pauseMs = 3_500;
 
 /** Number of outages in a day. */
